--- /dev/null
+++ b/src/net/buffers.cpp
@@ -0,0 +1,69 @@
+#include "buffers.h"
+
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+namespace ryeglade {
+
+char* Buffers::Take() {
+  if (taken_ >= most_) return nullptr;
+  ++taken_;
+  if (free_.empty()) return std::make_unique<char[]>(kSize).release();
+  char* buffer = free_.back().release();
+  free_.pop_back();
+  return buffer;
+}
+
+void Buffers::Return(char* buffer) {
+  --taken_;
+  free_.emplace_back(buffer);
+}
+
+Chain::Chain(Chain&& other) noexcept
+    : pool_(other.pool_), parts_(std::move(other.parts_)), size_(std::exchange(other.size_, 0)) {
+  other.parts_.clear();
+}
+
+Chain& Chain::operator=(Chain&& other) noexcept {
+  if (this == &other) return *this;
+  Clear();
+  pool_ = other.pool_;
+  parts_.swap(other.parts_);
+  size_ = std::exchange(other.size_, 0);
+  return *this;
+}
+
+bool Chain::Append(std::string_view bytes) {
+  while (!bytes.empty()) {
+    const std::size_t used = size_ % Buffers::kSize;
+    if (used == 0 && size_ == parts_.size() * Buffers::kSize) {
+      char* fresh = pool_->Take();
+      if (fresh == nullptr) return false;
+      parts_.push_back(fresh);
+    }
+    const std::size_t n = std::min(Buffers::kSize - used, bytes.size());
+    std::memcpy(parts_.back() + used, bytes.data(), n);
+    size_ += n;
+    bytes.remove_prefix(n);
+  }
+  return true;
+}
+
+void Chain::Clear() {
+  for (char* part : parts_) pool_->Return(part);
+  parts_.clear();
+  size_ = 0;
+}
+
+std::vector<std::string_view> Chain::Pieces() const {
+  std::vector<std::string_view> pieces;
+  std::size_t left = size_;
+  for (const char* part : parts_) {
+    pieces.emplace_back(part, std::min(left, Buffers::kSize));
+    left -= pieces.back().size();
+  }
+  return pieces;
+}
+
+}  // namespace ryeglade
--- /dev/null
+++ b/src/net/buffers.h
@@ -0,0 +1,48 @@
+// A pool of buffers of one size, used again, and chains of them. The pool is bounded: when it is spent, an
+// append fails and the caller refuses the work, so that the node stays inside its memory limit.
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace ryeglade {
+
+class Buffers {
+ public:
+  static constexpr std::size_t kSize = 16 * 1024;
+  explicit Buffers(std::size_t most_bytes) : most_(most_bytes / kSize) {}
+
+  char* Take();  // nullptr: the pool is spent
+  void Return(char* buffer);
+  std::size_t taken() const { return taken_; }
+  bool Scarce() const { return taken_ * 10 >= most_ * 9; }
+
+ private:
+  std::size_t most_;
+  std::size_t taken_ = 0;
+  std::vector<std::unique_ptr<char[]>> free_;
+};
+
+class Chain {
+ public:
+  explicit Chain(Buffers* pool) : pool_(pool) {}
+  Chain(Chain&& other) noexcept;
+  Chain& operator=(Chain&& other) noexcept;
+  Chain(const Chain&) = delete;
+  Chain& operator=(const Chain&) = delete;
+  ~Chain() { Clear(); }
+
+  bool Append(std::string_view bytes);  // false: the pool is spent; what fitted is kept
+  void Clear();
+  std::size_t size() const { return size_; }
+  std::vector<std::string_view> Pieces() const;
+
+ private:
+  Buffers* pool_;
+  std::vector<char*> parts_;
+  std::size_t size_ = 0;
+};
+
+}  // namespace ryeglade
--- /dev/null
+++ b/src/net/config.h
@@ -0,0 +1,39 @@
+// What the node is told: the EDGE_* environment and the JSON file that EDGE_CONFIG names.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "canvasspread/router.h"
+
+namespace ryeglade {
+
+class ConfigError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct Config {
+  std::string name;
+  std::string listen;
+  std::string discovery;
+  std::uint64_t seed = 0;
+  std::size_t memory_mb = 192;
+  std::size_t sockets = 1024;
+  nlohmann::json known;  // in discovery's form; null: none
+  canvasspread::Settings settings;
+  canvasspread::Time idle_close = 5'000'000;
+  std::vector<std::string> zones, kinds, load_fields;
+};
+
+// The settings object as the lines that the simulator's first message holds, so that one reader serves both.
+std::string FlattenSettings(const nlohmann::json& settings);
+
+Config ReadConfig(const std::string& text);  // the file's text; no environment
+Config LoadConfig(const std::string& path);  // "": the file that EDGE_CONFIG names; both throw ConfigError
+
+}  // namespace ryeglade
--- /dev/null
+++ b/src/net/deadlines.h
@@ -0,0 +1,45 @@
+// Every deadline of the node, the decision module's timers among them, in one ordered structure. It is swept
+// once each turn of the loop; one uv timer is armed for the earliest.
+#pragma once
+
+#include <uv.h>
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <map>
+
+#include "canvasspread/router.h"
+
+namespace ryeglade {
+
+using canvasspread::Time;
+
+// Unix time in microseconds when the program started, and steady from there: the origin is the one that
+// startedAtMs has, but a step of the system clock moves nothing.
+Time Now();
+
+struct DeadlineId {
+  Time at = 0;
+  std::uint64_t order = 0;  // 0: none
+  auto operator<=>(const DeadlineId&) const = default;
+};
+
+class Deadlines {
+ public:
+  explicit Deadlines(uv_loop_t* loop);
+  DeadlineId Set(Time at, std::function<void()> what);
+  void Cancel(DeadlineId& id);  // and clears it
+  void Close();
+
+ private:
+  void Sweep();
+  void Arm();
+  std::map<DeadlineId, std::function<void()>> all_;
+  std::uint64_t order_ = 0;
+  uv_timer_t timer_{};
+  uv_prepare_t prepare_{};
+  uv_check_t check_{};
+};
+
+}  // namespace ryeglade
--- /dev/null
+++ b/src/net/decisions.cpp
@@ -0,0 +1,57 @@
+#include "decisions.h"
+
+#include <utility>
+#include <variant>
+
+#include "discovery.h"
+#include "streams.h"
+#include "upstream.h"
+
+namespace ryeglade {
+namespace {
+
+template <class... Ts>
+struct Overloaded : Ts... {
+  using Ts::operator()...;
+};
+template <class... Ts>
+Overloaded(Ts...) -> Overloaded<Ts...>;
+
+}  // namespace
+
+Decisions::Decisions(Core* core) : core_(core), router_(core->config->settings, core->config->seed, Now()) {}
+
+void Decisions::Post(canvasspread::Event event) {
+  events_.push_back(std::move(event));
+  if (busy_) return;
+  busy_ = true;
+  while (!events_.empty()) {
+    const canvasspread::Event next = std::move(events_.front());
+    events_.pop_front();
+    actions_.clear();
+    router_.Handle(Now(), next, actions_);
+    for (const canvasspread::Action& action : actions_) CarryOut(action);
+  }
+  busy_ = false;
+}
+
+void Decisions::CarryOut(const canvasspread::Action& action) {
+  using namespace canvasspread;
+  std::visit(Overloaded{
+                 [&](const SendAttempt& a) { core_->upstream->Send(a.id, a.replica, a.timeout); },
+                 [&](const CancelAttempt& a) { core_->upstream->CancelAttempt(a.id, a.attempt); },
+                 [&](const Refuse& a) { core_->streams->Refuse(a.id, a.retry_after); },
+                 [&](const Fail& a) { core_->streams->Fail(a.id); },
+                 [&](const MoveStream& a) { core_->streams->Move(a.id); },
+                 [&](const SetTimer& a) {
+                   core_->deadlines->Set(Now() + a.delay,
+                                         [this, token = a.token] { Post(TimerFired{token}); });
+                 },
+                 [&](const ProbeReplica& a) { core_->upstream->Probe(a.replica); },
+                 [&](const SubscribeList& a) { core_->discovery->Watch(a.on); },
+                 [&](const FetchList&) { core_->discovery->Fetch(); },
+             },
+             action);
+}
+
+}  // namespace ryeglade
--- /dev/null
+++ b/src/net/discovery.cpp
@@ -0,0 +1,248 @@
+#include "discovery.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "decisions.h"
+#include "log.h"
+#include "upstream.h"
+
+namespace ryeglade {
+namespace {
+
+using canvasspread::ListScope;
+using canvasspread::Phase;
+using canvasspread::ReplicaEntry;
+using canvasspread::ReplicaId;
+using canvasspread::ReplicaList;
+using nlohmann::json;
+
+constexpr Time kConnectWithin = 1'000'000;
+constexpr Time kAnswerWithin = 3'000'000;
+constexpr Time kLineWithin = 5'000'000;  // an idle watch says something every 2 s
+constexpr std::size_t kMostText = 8 * 1024 * 1024;
+
+}  // namespace
+
+ReplicaId Discovery::IdOf(const std::string& instance) {
+  const auto known = ids_.find(instance);
+  if (known != ids_.end()) return known->second;
+  std::uint32_t id = 2166136261U;  // FNV-1a
+  for (const char c : instance) id = (id ^ static_cast<unsigned char>(c)) * 16777619U;
+  while (names_.contains(id)) ++id;
+  ids_[instance] = id;
+  names_[id] = instance;
+  return id;
+}
+
+void Discovery::Known(const json& list) {
+  if (list.is_object() && Apply(list, ListScope::kCached)) return;
+  core_->decisions->Post(ReplicaList{ListScope::kCached, 0, {}});
+}
+
+void Discovery::Watch(bool on) {
+  Drop(watch_);
+  watch_ = 0;
+  if (on) Start(true);
+}
+
+void Discovery::Fetch() {
+  if (calls_.size() < kSockets) return Start(false);
+  core_->decisions->Post(ReplicaList{ListScope::kFailed, 0, {}});
+}
+
+void Discovery::Start(bool watch) {
+  const Handle handle = calls_.Add({});
+  Call& c = *calls_.Get(handle);
+  c.watch = watch;
+  if (watch) watch_ = handle;
+  c.tcp = Tcp::New(core_->loop, core_->buffers, this, handle);
+  sockaddr_storage address{};
+  ParseAddress(core_->config->discovery, &address);
+  Expect(handle, kConnectWithin);
+  if (!c.tcp->Connect(address)) Failed(handle, "connect");
+}
+
+void Discovery::Expect(Handle handle, Time within) {
+  Call& c = *calls_.Get(handle);
+  core_->deadlines->Cancel(c.deadline);
+  c.deadline = core_->deadlines->Set(Now() + within, [this, handle] { Failed(handle, "silent"); });
+}
+
+void Discovery::Failed(Handle handle, const char* why) {
+  const Call* c = calls_.Get(handle);
+  if (c == nullptr) return;
+  Log("discovery-failed call=%s why=%s status=%d", c->watch ? "watch" : "fetch", why, c->status);
+  if (handle == watch_) watch_ = 0;
+  Drop(handle);
+  core_->decisions->Post(ReplicaList{ListScope::kFailed, 0, {}});
+}
+
+void Discovery::Drop(Handle handle) {
+  Call* c = calls_.Get(handle);
+  if (c == nullptr) return;
+  core_->deadlines->Cancel(c->deadline);
+  c->tcp->Close();
+  calls_.Remove(handle);
+}
+
+void Discovery::Close() {
+  for (const Handle call : calls_.All()) Drop(call);
+}
+
+const http_parser_settings& Discovery::Callbacks() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings s;
+    http_parser_settings_init(&s);
+    s.on_headers_complete = [](http_parser* p) {
+      static_cast<Call*>(p->data)->status = p->status_code;
+      return 0;
+    };
+    s.on_body = [](http_parser* p, const char* at, std::size_t n) {
+      Call& c = *static_cast<Call*>(p->data);
+      c.text.append(at, n);
+      return c.text.size() > kMostText ? 1 : 0;
+    };
+    s.on_message_complete = [](http_parser* p) {
+      Call& c = *static_cast<Call*>(p->data);
+      c.complete = c.status >= 200;
+      return 0;
+    };
+    return s;
+  }();
+  return settings;
+}
+
+void Discovery::OnConnected(Handle handle, int status) {
+  Call* c = calls_.Get(handle);
+  if (c == nullptr) return;
+  if (status != 0) return Failed(handle, "connect");
+  http_parser_init(&c->parser, HTTP_RESPONSE);
+  c->parser.data = c;
+  std::string target = "/catalog/members";
+  if (c->watch) target += "?follow=1&since=" + std::to_string(generation_);
+  Expect(handle, kAnswerWithin);
+  c->tcp->Read();
+  if (!c->tcp->Write("GET " + target + " HTTP/1.1\r\nHost: " + core_->config->discovery + "\r\n\r\n")) {
+    Failed(handle, "write");
+  }
+}
+
+void Discovery::OnRead(Handle handle, std::string_view bytes) {
+  Call* c = calls_.Get(handle);
+  if (c == nullptr) return;
+  http_parser_execute(&c->parser, &Callbacks(), bytes.data(), bytes.size());
+  if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK) return Failed(handle, "malformed");
+  if (c->status != 0 && c->status != 200) return Failed(handle, "status");
+  if (c->watch) {
+    std::string text = std::exchange(c->text, {});
+    std::size_t from = 0;
+    for (std::size_t end = 0; (end = text.find('\n', from)) != std::string::npos; from = end + 1) {
+      const std::string_view line = std::string_view(text).substr(from, end - from);
+      const bool empty = line.find_first_not_of(" \r\t") == std::string_view::npos;
+      Expect(handle, kLineWithin);
+      if (!empty && !Apply(line, false)) return Failed(handle, "malformed");
+      c = calls_.Get(handle);  // what was told may have led to another call
+      if (c == nullptr) return;
+      if (!empty && !std::exchange(c->answered, true))
+        Log("watching generation=%llu", static_cast<unsigned long long>(generation_));
+    }
+    c->text = text.substr(from);
+    if (c->complete) Failed(handle, "ended");
+  } else if (c->complete) {
+    const std::string text = std::move(c->text);
+    if (!Apply(text, true)) return Failed(handle, "malformed");
+    Drop(handle);
+  }
+}
+
+void Discovery::OnEnded(Handle handle) { Failed(handle, "ended"); }
+
+bool Discovery::Apply(std::string_view text, bool single) {
+  const json list = json::parse(text, nullptr, false);
+  if (!list.is_object()) return false;
+  const auto reset = list.find("reset");
+  const bool full = single || (reset != list.end() && reset->is_boolean() && reset->get<bool>());
+  return Apply(list, full ? ListScope::kFull : ListScope::kDelta);
+}
+
+int Discovery::IndexOf(const std::vector<std::string>& names, const json& entry, const char* key) const {
+  const auto field = entry.find(key);
+  if (field == entry.end() || !field->is_string()) return -1;
+  const auto at = std::find(names.begin(), names.end(), field->get_ref<const std::string&>());
+  return at == names.end() ? -1 : static_cast<int>(at - names.begin());
+}
+
+bool Discovery::Apply(const json& list, ListScope scope) {
+  const auto generation = list.find("generation");
+  const auto instances = list.find("instances");
+  if (generation == list.end() || !generation->is_number_unsigned()) return false;
+  if (instances == list.end() || !instances->is_array()) return false;
+
+  ReplicaList told{scope, generation->get<std::uint32_t>(), {}};
+  std::map<ReplicaId, bool> listed;
+  std::vector<ReplicaId> left;
+  for (const json& entry : *instances) {
+    const auto name = entry.is_object() ? entry.find("instanceId") : entry.end();
+    if (name == entry.end() || !name->is_string()) {
+      Log("discovery-entry-skipped why=no-name");
+      continue;
+    }
+    const auto text = [&](const char* key) {
+      const auto field = entry.find(key);
+      return field != entry.end() && field->is_string() ? field->get<std::string>() : std::string();
+    };
+    const auto number = [&](const char* key, double fallback) {
+      const auto field = entry.find(key);
+      return field != entry.end() && field->is_number() ? field->get<double>() : fallback;
+    };
+    const std::string lifecycle = text("lifecycle");
+    ReplicaEntry e;
+    e.id = IdOf(name->get<std::string>());
+    // A state that is not known here gets nothing new.
+    e.phase = lifecycle == "active" ? Phase::kReady : lifecycle == "left" ? Phase::kGone : Phase::kDraining;
+    e.weight = number("weight", 1.0);
+    e.zone = IndexOf(core_->config->zones, entry, "zone");
+    e.kind = IndexOf(core_->config->kinds, entry, "machineType");
+    e.cell = static_cast<int>(std::clamp(number("cell", 0), -1e9, 1e9));
+    e.started_at = static_cast<Time>(std::clamp(number("startedAtMs", 0), 0.0, 1e15)) * 1000;
+    if (e.phase == Phase::kGone) {
+      left.push_back(e.id);
+    } else {
+      sockaddr_storage address{};
+      const std::string host_port = text("hostPort");
+      if (!ParseAddress(host_port, &address)) {
+        Log("discovery-entry-skipped why=address name=%s", name->get_ref<const std::string&>().c_str());
+        continue;
+      }
+      core_->upstream->SetHost(e.id, host_port);
+      listed[e.id] = true;
+    }
+    told.entries.push_back(e);
+  }
+  if (scope == ListScope::kDelta) {
+    for (const auto& [id, yes] : listed) hosts_[id] = yes;
+    for (const ReplicaId id : left) hosts_.erase(id);
+  } else {
+    for (const auto& [id, yes] : hosts_) {
+      if (!listed.contains(id)) left.push_back(id);
+    }
+    hosts_ = std::move(listed);
+  }
+  generation_ = generation->get<std::uint64_t>();
+  if (scope != ListScope::kDelta || !told.entries.empty()) {
+    Log("list scope=%s generation=%llu entries=%zu hosts=%zu",
+        scope == ListScope::kDelta    ? "delta"
+        : scope == ListScope::kCached ? "cached"
+                                      : "full",
+        static_cast<unsigned long long>(generation_), told.entries.size(), hosts_.size());
+  }
+  core_->decisions->Post(std::move(told));
+  for (const ReplicaId id : left) {
+    if (!hosts_.contains(id)) core_->upstream->RemoveHost(id);
+  }
+  return true;
+}
+
+}  // namespace ryeglade
--- /dev/null
+++ b/src/net/discovery.h
@@ -0,0 +1,67 @@
+// Discovery: the watch, single fetches, and the names of upstream hosts. The module says when to ask, and
+// asks again later each time after a failure; a call here only ever succeeds or fails.
+#pragma once
+
+#include <http_parser.h>
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+#include "core.h"
+#include "slots.h"
+#include "tcp.h"
+
+namespace ryeglade {
+
+class Discovery : public TcpOwner {
+ public:
+  static constexpr std::size_t kSockets = 4;
+  explicit Discovery(Core* core) : core_(core) {}
+
+  void Known(const nlohmann::json& list);  // as the node last had it; it may be old
+  void Watch(bool on);
+  void Fetch();
+  bool ready() const { return !hosts_.empty(); }
+  void Close();
+
+  // Alike at every node, whatever order the names come in (but for a clash of hashes, which gets the next
+  // free number).
+  canvasspread::ReplicaId IdOf(const std::string& instance);
+
+  void OnConnected(Handle call, int status) override;
+  void OnRead(Handle call, std::string_view bytes) override;
+  void OnEnded(Handle call) override;
+
+ private:
+  struct Call {
+    Tcp* tcp = nullptr;
+    bool watch = false;
+    http_parser parser{};
+    bool answered = false;  // a line of a watch has come
+    bool complete = false;
+    int status = 0;
+    std::string text;  // of the body, not yet used
+    DeadlineId deadline;
+  };
+
+  void Start(bool watch);
+  void Expect(Handle call, Time within);
+  void Failed(Handle call, const char* why);
+  void Drop(Handle call);
+  bool Apply(std::string_view text, bool single);
+  bool Apply(const nlohmann::json& list, canvasspread::ListScope scope);
+  int IndexOf(const std::vector<std::string>& names, const nlohmann::json& entry, const char* key) const;
+  static const http_parser_settings& Callbacks();
+
+  Core* core_;
+  Slots<Call> calls_;
+  Handle watch_ = 0;
+  std::uint64_t generation_ = 0;
+  std::map<std::string, canvasspread::ReplicaId> ids_;
+  std::map<canvasspread::ReplicaId, std::string> names_;
+  std::map<canvasspread::ReplicaId, bool> hosts_;  // listed now
+};
+
+}  // namespace ryeglade
--- /dev/null
+++ b/src/net/downstream.cpp
@@ -0,0 +1,370 @@
+#include "downstream.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <cstdio>
+
+#include "log.h"
+
+namespace ryeglade {
+namespace {
+
+constexpr std::size_t kMostBody = 256 * 1024;
+constexpr std::size_t kMostAhead = 64 * 1024;
+constexpr std::size_t kCongested = 128 * 1024;  // unsent bytes at which the source is asked to stop
+constexpr Time kReadWithin = 10'000'000;        // a whole request, from its first byte
+constexpr Time kDrainWithin = 10'000'000;       // a congested client that takes nothing for this long is gone
+constexpr Time kLinger = 1'000'000;             // for a last answer to arrive before the socket goes
+constexpr std::uint32_t kMostHead = 16 * 1024;
+constexpr int kBacklog = 1024;
+
+const char* Reason(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 408:
+      return "Request Timeout";
+    case 409:
+      return "Conflict";
+    case 413:
+      return "Content Too Large";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 505:
+      return "HTTP Version Not Supported";
+    default:
+      return "Error";
+  }
+}
+
+}  // namespace
+
+const std::string* HttpRequest::Header(std::string_view name) const {
+  for (const auto& [field, value] : headers) {
+    if (field.size() == name.size() && strncasecmp(field.data(), name.data(), name.size()) == 0)
+      return &value;
+  }
+  return nullptr;
+}
+
+Downstream::Downstream(Core* core, Front* front, std::size_t most_sockets)
+    : core_(core), front_(front), most_(most_sockets * 9 / 10), surplus_(most_sockets - most_) {}
+
+std::string Downstream::Listen() {
+  http_parser_set_max_header_size(kMostHead);
+  sockaddr_storage address{};
+  ParseAddress(core_->config->listen, &address);
+  uv_tcp_init(core_->loop, &listener_);
+  listener_.data = this;
+  listening_ = true;
+  int error = uv_tcp_bind(&listener_, reinterpret_cast<const sockaddr*>(&address), 0);
+  if (error == 0) {
+    error = uv_listen(reinterpret_cast<uv_stream_t*>(&listener_), kBacklog, [](uv_stream_t* s, int status) {
+      if (status == 0) static_cast<Downstream*>(s->data)->Accept();
+    });
+  }
+  if (error != 0) throw ConfigError("cannot listen on " + core_->config->listen + ": " + uv_strerror(error));
+  int length = sizeof address;
+  uv_tcp_getsockname(&listener_, reinterpret_cast<sockaddr*>(&address), &length);
+  const auto* in = reinterpret_cast<const sockaddr_in*>(&address);  // the port stands there in both families
+  const std::string& told = core_->config->listen;
+  return told.substr(0, told.rfind(':') + 1) + std::to_string(ntohs(in->sin_port));
+}
+
+// ---- Connections ----
+
+// Guards against running out of descriptors: the client that has been idle longest loses its connection,
+// which it may at any time between requests.
+bool Downstream::MakeRoom() {
+  if (clients_.size() < most_) return true;
+  Handle oldest = 0;
+  Time since = 0;
+  for (const Handle handle : clients_.All()) {
+    const Client& c = *clients_.Get(handle);
+    if (c.state == State::kIdle && (oldest == 0 || c.idle_since < since)) {
+      oldest = handle;
+      since = c.idle_since;
+    }
+  }
+  if (oldest != 0) Drop(oldest);
+  return oldest != 0;
+}
+
+void Downstream::Accept() {
+  if (!MakeRoom() && clients_.size() >= most_ + surplus_) {
+    if (!waiting_) Log("accept-waits clients=%zu", clients_.size());
+    waiting_ = true;  // Drop goes on from here
+    return;
+  }
+  AcceptOne();
+}
+
+void Downstream::AcceptOne() {
+  const bool surplus = clients_.size() >= most_;
+  const Handle handle = clients_.Add(Client(core_->buffers));
+  Client& c = *clients_.Get(handle);
+  c.tcp = Tcp::New(core_->loop, core_->buffers, this, handle);
+  c.surplus = surplus;
+  http_parser_init(&c.parser, HTTP_REQUEST);
+  c.idle_since = last_arrival_ = Now();
+  if (!c.tcp->Accept(reinterpret_cast<uv_stream_t*>(&listener_))) return Drop(handle);
+  c.tcp->Read();
+}
+
+void Downstream::Drop(Handle handle) {
+  Client* c = clients_.Get(handle);
+  if (c == nullptr) return;
+  core_->deadlines->Cancel(c->deadline);
+  c->tcp->Close();
+  clients_.Remove(handle);
+  if (waiting_) {
+    waiting_ = false;
+    core_->deadlines->Set(Now(), [this] {
+      if (listening_) Accept();
+    });
+  }
+}
+
+// The client left or its connection broke. Told to the front if an answer is owed.
+void Downstream::Lost(Handle handle) {
+  const Client* c = clients_.Get(handle);
+  if (c == nullptr) return;
+  const bool owed = c->state == State::kAnswering;
+  Drop(handle);
+  if (owed) front_->OnGone(handle);
+}
+
+void Downstream::OnEnded(Handle handle) { Lost(handle); }
+
+void Downstream::Drain() { draining_ = true; }
+
+void Downstream::CloseIdle() {
+  for (const Handle handle : clients_.All()) {
+    if (clients_.Get(handle)->state == State::kIdle) Drop(handle);
+  }
+}
+
+void Downstream::Close() {
+  if (listening_) uv_close(reinterpret_cast<uv_handle_t*>(&listener_), nullptr);
+  listening_ = false;
+  for (const Handle handle : clients_.All()) Drop(handle);
+}
+
+// ---- Requests ----
+
+const http_parser_settings& Downstream::Callbacks() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings s;
+    http_parser_settings_init(&s);
+    s.on_url = [](http_parser* p, const char* at, std::size_t n) {
+      static_cast<Client*>(p->data)->request.target.append(at, n);
+      return 0;
+    };
+    s.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
+      Client& c = *static_cast<Client*>(p->data);
+      if (c.request.headers.empty() || c.value_next) c.request.headers.emplace_back();
+      c.value_next = false;
+      c.request.headers.back().first.append(at, n);
+      return 0;
+    };
+    s.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
+      Client& c = *static_cast<Client*>(p->data);
+      c.value_next = true;
+      c.request.headers.back().second.append(at, n);
+      return 0;
+    };
+    s.on_headers_complete = [](http_parser* p) {
+      Client& c = *static_cast<Client*>(p->data);
+      c.request.method = http_method_str(static_cast<http_method>(p->method));
+      c.request.http11 = p->http_major == 1 && p->http_minor >= 1;
+      c.keep_alive = http_should_keep_alive(p) != 0;
+      if (p->method == HTTP_CONNECT) c.reject = 405;
+      if ((p->flags & F_CONTENTLENGTH) != 0 && p->content_length > kMostBody) c.reject = 413;
+      if (c.reject != 0) return -1;
+      p->upgrade = 0;  // offers to change the protocol are passed over
+      const std::string* expect = c.request.Header("expect");
+      if (expect != nullptr && strcasecmp(expect->c_str(), "100-continue") == 0) {
+        c.tcp->Write("HTTP/1.1 100 Continue\r\n\r\n");
+      }
+      return 0;
+    };
+    s.on_body = [](http_parser* p, const char* at, std::size_t n) {
+      Client& c = *static_cast<Client*>(p->data);
+      if (c.request.body.size() + n > kMostBody) {
+        c.reject = 413;
+      } else if (!c.request.body.Append({at, n})) {
+        c.reject = 503;
+      }
+      return c.reject != 0 ? 1 : 0;
+    };
+    s.on_message_complete = [](http_parser* p) {
+      static_cast<Client*>(p->data)->complete = true;
+      http_parser_pause(p, 1);  // one request at a time
+      return 0;
+    };
+    return s;
+  }();
+  return settings;
+}
+
+void Downstream::OnRead(Handle handle, std::string_view bytes) {
+  Client* c = clients_.Get(handle);
+  if (c == nullptr || c->state == State::kLingering) return;
+  c->ahead.append(bytes);
+  if (c->state == State::kAnswering) {
+    if (c->ahead.size() > kMostAhead) c->tcp->StopReading();
+    return;
+  }
+  Feed(handle);
+}
+
+// Parses what was read, up to the end of one request; and the next if the first is answered meanwhile.
+void Downstream::Feed(Handle handle) {
+  Client* c = clients_.Get(handle);
+  if (c == nullptr || c->feeding) return;
+  c->feeding = true;
+  while (c != nullptr && !c->ahead.empty() && (c->state == State::kIdle || c->state == State::kReading)) {
+    if (c->state == State::kIdle) {
+      c->state = State::kReading;
+      c->request.first_byte = last_arrival_ = Now();
+      // Guards against a sender that trickles: it holds a socket and buffers, and is owed no answer yet.
+      c->deadline = core_->deadlines->Set(c->request.first_byte + kReadWithin, [this, handle] {
+        Client* slow = clients_.Get(handle);
+        if (slow == nullptr || slow->state != State::kReading) return;
+        slow->state = State::kAnswering;
+        slow->keep_alive = false;
+        Log("local-reply status=408 why=slow-sender");
+        Reply(handle, 408, "", "");
+      });
+    }
+    c->parser.data = c;
+    const std::string bytes = std::move(c->ahead);
+    c->ahead.clear();
+    const std::size_t parsed = http_parser_execute(&c->parser, &Callbacks(), bytes.data(), bytes.size());
+    const http_errno error = HTTP_PARSER_ERRNO(&c->parser);
+    if (c->complete) {
+      http_parser_pause(&c->parser, 0);
+      c->ahead = bytes.substr(std::min(parsed, bytes.size()));
+      core_->deadlines->Cancel(c->deadline);
+      c->state = State::kAnswering;
+      last_arrival_ = Now();
+      if (c->surplus) {
+        Log("local-reply status=503 why=sockets clients=%zu", clients_.size());
+        c->keep_alive = false;
+        Reply(handle, 503, "Retry-After: 1\r\n", "");
+      } else {
+        HttpRequest request = std::move(c->request);
+        front_->OnRequest(handle, std::move(request));
+      }
+    } else if (error != HPE_OK) {
+      const int status = c->reject != 0 ? c->reject : error == HPE_HEADER_OVERFLOW ? 431 : 400;
+      Log("local-reply status=%d why=%s", status, c->reject != 0 ? "limit" : http_errno_name(error));
+      core_->deadlines->Cancel(c->deadline);
+      c->state = State::kAnswering;
+      c->keep_alive = false;
+      Reply(handle, status, status == 503 ? "Retry-After: 1\r\n" : "", "");
+    }
+    c = clients_.Get(handle);
+  }
+  if (c != nullptr) c->feeding = false;
+}
+
+// ---- Answers ----
+
+void Downstream::Reply(Handle handle, int status, const std::string& headers, std::string_view body) {
+  Client* c = clients_.Get(handle);
+  if (c == nullptr || c->state != State::kAnswering) return;
+  if (draining_) c->keep_alive = false;
+  const std::string head = "HTTP/1.1 " + std::to_string(status) + " " + Reason(status) + "\r\n" + headers +
+                           (c->keep_alive ? "" : "Connection: close\r\n") +
+                           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  if (!c->tcp->Write({head, body})) return Drop(handle);
+  Done(handle);
+}
+
+void Downstream::BeginChunks(Handle handle, const std::string& headers) {
+  Client* c = clients_.Get(handle);
+  if (c == nullptr || c->state != State::kAnswering) return;
+  if (draining_) c->keep_alive = false;
+  Sent(handle,
+       c->tcp->Write("HTTP/1.1 200 OK\r\n" + headers + (c->keep_alive ? "" : "Connection: close\r\n") +
+                     "Transfer-Encoding: chunked\r\n\r\n"));
+}
+
+void Downstream::Chunk(Handle handle, std::string_view bytes) {
+  Client* c = clients_.Get(handle);
+  if (c == nullptr || c->state != State::kAnswering || bytes.empty()) return;
+  char size[24];
+  const int n = std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+  Sent(handle, c->tcp->Write({{size, static_cast<std::size_t>(n)}, bytes, "\r\n"}));
+}
+
+// A write that fails is acted on a turn later: the caller may be in the middle of handing events on.
+void Downstream::Sent(Handle handle, bool written) {
+  Client& c = *clients_.Get(handle);
+  if (!written) {
+    core_->deadlines->Set(Now(), [this, handle] { Lost(handle); });
+    return;
+  }
+  if (c.congested || c.tcp->unsent() < kCongested) return;
+  c.congested = true;
+  c.deadline = core_->deadlines->Set(Now() + kDrainWithin, [this, handle] {
+    Log("client-stuck");
+    Lost(handle);
+  });
+  front_->OnFlow(handle, true);
+}
+
+void Downstream::OnDrained(Handle handle) {
+  Client* c = clients_.Get(handle);
+  if (c == nullptr || !c->congested) return;
+  c->congested = false;
+  core_->deadlines->Cancel(c->deadline);
+  if (c->state == State::kAnswering) front_->OnFlow(handle, false);
+}
+
+void Downstream::EndChunks(Handle handle) {
+  Client* c = clients_.Get(handle);
+  if (c == nullptr || c->state != State::kAnswering) return;
+  if (!c->tcp->Write("0\r\n\r\n")) return Drop(handle);
+  Done(handle);
+}
+
+void Downstream::Abort(Handle handle) { Drop(handle); }
+
+// The answer is given. The connection goes on, or ends in an orderly way: closing a socket with bytes unread
+// would reset it and could take the answer with it.
+void Downstream::Done(Handle handle) {
+  Client& c = *clients_.Get(handle);
+  if (!c.keep_alive) {
+    core_->deadlines->Cancel(c.deadline);
+    c.state = State::kLingering;
+    c.ahead.clear();
+    c.tcp->Read();
+    c.tcp->EndWriting();
+    c.deadline = core_->deadlines->Set(Now() + kLinger, [this, handle] { Drop(handle); });
+    return;
+  }
+  c.state = State::kIdle;
+  c.idle_since = Now();
+  c.request = HttpRequest(core_->buffers);
+  c.field.clear();
+  c.value_next = c.complete = false;
+  c.reject = 0;
+  http_parser_init(&c.parser, HTTP_REQUEST);
+  c.tcp->Read();
+  if (!c.ahead.empty()) Feed(handle);
+}
+
+}  // namespace ryeglade
--- /dev/null
+++ b/src/net/downstream.h
@@ -0,0 +1,105 @@
+// Downstream: the listener and the clients' connections. It speaks HTTP/1.1, one request at a time on a
+// connection, and knows nothing of what the requests mean: a Front does.
+#pragma once
+
+#include <http_parser.h>
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "core.h"
+#include "slots.h"
+#include "tcp.h"
+
+namespace ryeglade {
+
+struct HttpRequest {
+  explicit HttpRequest(Buffers* pool) : body(pool) {}
+  std::string method, target;
+  std::vector<std::pair<std::string, std::string>> headers;
+  Chain body;
+  Time first_byte = 0;
+  bool http11 = true;
+
+  const std::string* Header(std::string_view name) const;  // whatever its case; null: absent
+};
+
+class Front {
+ public:
+  virtual ~Front() = default;
+  virtual void OnRequest(Handle connection, HttpRequest request) = 0;
+  virtual void OnGone(Handle connection) = 0;                  // the client left while an answer was owed
+  virtual void OnFlow(Handle connection, bool congested) = 0;  // the client does not drain, or does again
+};
+
+class Downstream : public TcpOwner {
+ public:
+  Downstream(Core* core, Front* front, std::size_t most_sockets);
+
+  std::string Listen();  // the address in use; throws ConfigError
+  // Answers of the request at hand, one whole or one in chunks.
+  void Reply(Handle connection, int status, const std::string& headers, std::string_view body);
+  void BeginChunks(Handle connection, const std::string& headers);
+  void Chunk(Handle connection, std::string_view bytes);
+  void EndChunks(Handle connection);
+  void Abort(Handle connection);  // ends the connection without the last chunk
+
+  void Drain();      // from here on every answer closes its connection
+  void CloseIdle();  // connections on which nothing is owed and nothing has begun
+  void Close();      // all, and the listener
+  bool draining() const { return draining_; }
+  std::size_t size() const { return clients_.size(); }
+  Time last_arrival() const { return last_arrival_; }
+
+  void OnRead(Handle connection, std::string_view bytes) override;
+  void OnEnded(Handle connection) override;
+  void OnDrained(Handle connection) override;
+
+ private:
+  enum class State : unsigned char { kIdle, kReading, kAnswering, kLingering };
+
+  struct Client {
+    explicit Client(Buffers* pool) : request(pool) {}
+    Tcp* tcp = nullptr;
+    http_parser parser{};
+    State state = State::kIdle;
+    HttpRequest request;
+    std::string field;
+    bool value_next = false;
+    int reject = 0;  // the status that the parser's callbacks ended the request with
+    bool complete = false;
+    bool keep_alive = true;
+    bool surplus = false;  // over the budget of sockets: gets an answer, no service
+    bool congested = false;
+    bool feeding = false;
+    bool chunking = false;
+    std::string ahead;  // read behind the request at hand
+    Time idle_since = 0;
+    DeadlineId deadline;
+  };
+
+  void Accept();
+  void AcceptOne();
+  bool MakeRoom();
+  void Feed(Handle connection);
+  void Reset(Client& client);
+  void Done(Handle connection);
+  void Drop(Handle connection);
+  void Lost(Handle connection);
+  void Sent(Handle connection, bool written);
+  static const http_parser_settings& Callbacks();
+
+  Core* core_;
+  Front* front_;
+  std::size_t most_, surplus_;
+  uv_tcp_t listener_{};
+  bool listening_ = false;
+  bool waiting_ = false;  // a connection waits to be accepted, and there is no room
+  bool draining_ = false;
+  Time last_arrival_ = 0;
+  Slots<Client> clients_;
+};
+
+}  // namespace ryeglade
--- /dev/null
+++ b/src/net/node.cpp
@@ -0,0 +1,124 @@
+#include "node.h"
+
+#include <uv.h>
+
+#include <csignal>
+
+#include "buffers.h"
+#include "core.h"
+#include "deadlines.h"
+#include "decisions.h"
+#include "discovery.h"
+#include "downstream.h"
+#include "log.h"
+#include "platform_front.h"
+#include "streams.h"
+#include "upstream.h"
+
+namespace ryeglade {
+namespace {
+
+constexpr std::size_t kOwnSockets = 24;  // the loop's, the listener, standard streams, some to spare
+constexpr Time kServeOn = 1'000'000;     // after SIGTERM, new requests keep coming for a while
+constexpr Time kQuiet = 200'000;         // and the listener closes only once none has come for this long
+constexpr Time kDrainTick = 50'000;
+
+class Node {
+ public:
+  explicit Node(const Config& config)
+      : buffers_(config.memory_mb * 1024 * 1024 / 2),
+        deadlines_(Loop()),
+        core_{&loop_, &config, &deadlines_, &buffers_},
+        streams_(&core_),
+        upstream_(&core_, Share(config) * 45 / 100),
+        discovery_(&core_),
+        decisions_(&core_),
+        front_(&core_),
+        downstream_(&core_, &front_, Share(config) * 55 / 100) {
+    core_.streams = &streams_;
+    core_.upstream = &upstream_;
+    core_.discovery = &discovery_;
+    core_.decisions = &decisions_;
+    front_.Use(&downstream_);
+  }
+
+  void Run() {
+    const std::string listen = downstream_.Listen();
+    Log("listening addr=%s name=%s", listen.c_str(), core_.config->name.c_str());
+    discovery_.Known(core_.config->known);
+    Watch(&term_, SIGTERM);
+    Watch(&int_, SIGINT);
+    uv_run(&loop_, UV_RUN_DEFAULT);
+    uv_loop_close(&loop_);
+    Log("stopped");
+  }
+
+ private:
+  static std::size_t Share(const Config& config) {
+    return config.sockets - kOwnSockets - Discovery::kSockets;
+  }
+
+  uv_loop_t* Loop() {
+    uv_loop_init(&loop_);
+    return &loop_;
+  }
+
+  void Watch(uv_signal_t* signal, int number) {
+    uv_signal_init(&loop_, signal);
+    signal->data = this;
+    uv_signal_start(
+        signal, [](uv_signal_t* s, int) { static_cast<Node*>(s->data)->Drain(); }, number);
+  }
+
+  void Drain() {
+    if (downstream_.draining()) return;
+    Log("draining streams=%zu clients=%zu", streams_.size(), downstream_.size());
+    drain_began_ = Now();
+    downstream_.Drain();
+    Tick();
+  }
+
+  // Guards against losing what was taken: requests come on old and new connections for a while after SIGTERM,
+  // and one in the kernel's queue counts as taken when the listener closes.
+  void Tick() {
+    const Time now = Now();
+    if (now - drain_began_ >= kServeOn) {
+      downstream_.CloseIdle();
+      if (downstream_.size() == 0 && streams_.size() == 0 && now - downstream_.last_arrival() >= kQuiet) {
+        return Stop();
+      }
+    }
+    deadlines_.Set(now + kDrainTick, [this] { Tick(); });
+  }
+
+  void Stop() {
+    downstream_.Close();
+    upstream_.Close();
+    discovery_.Close();
+    deadlines_.Close();
+    uv_close(reinterpret_cast<uv_handle_t*>(&term_), nullptr);
+    uv_close(reinterpret_cast<uv_handle_t*>(&int_), nullptr);
+  }
+
+  uv_loop_t loop_{};
+  Buffers buffers_;
+  Deadlines deadlines_;
+  Core core_;
+  Streams streams_;
+  Upstream upstream_;
+  Discovery discovery_;
+  Decisions decisions_;
+  PlatformFront front_;
+  Downstream downstream_;
+  uv_signal_t term_{}, int_{};
+  Time drain_began_ = 0;
+};
+
+}  // namespace
+
+void Serve(const Config& config) {
+  std::signal(SIGPIPE, SIG_IGN);
+  Node(config).Run();
+}
+
+}  // namespace ryeglade
--- /dev/null
+++ b/src/net/platform_front.cpp
@@ -0,0 +1,184 @@
+#include "platform_front.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+#include <utility>
+
+#include "discovery.h"
+#include "log.h"
+
+namespace ryeglade {
+namespace {
+
+constexpr const char* kPath = "/v1/chat/completions";
+constexpr const char* kHealth = "/_health";
+constexpr double kMostBudget = 3600;
+constexpr double kCharsPerToken = 4;
+
+bool Hex(std::string_view text, std::uint64_t* value) {
+  if (text.empty() || text.size() > 16) return false;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), *value, 16);
+  return error == std::errc() && end == text.data() + text.size();
+}
+
+// A name that is not a hexadecimal number is as good a name.
+std::uint64_t Name(std::string_view text) {
+  std::uint64_t value = 0;
+  if (Hex(text, &value)) return value;
+  value = 14695981039346656037ULL;  // FNV-1a
+  for (const char c : text) value = (value ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+  return value;
+}
+
+bool Amount(std::string_view text, double most, double* value) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), *value);
+  return error == std::errc() && end == text.data() + text.size() && *value >= 0 && *value <= most;
+}
+
+std::string_view PathOf(std::string_view target) { return target.substr(0, target.find('?')); }
+
+}  // namespace
+
+void PlatformFront::OnRequest(Handle connection, HttpRequest request) {
+  const std::string_view path = PathOf(request.target);
+  if (path == kHealth) return Health(connection, request);
+  if (path != kPath) return Local(connection, 404, "path");
+  if (request.method != "POST") return Local(connection, 405, "method", "Allow: POST\r\n");
+  if (!request.http11) return Local(connection, 505, "version");
+
+  StreamRequest stream{{}, {}, {}, {}, Chain(core_->buffers), {}, 0};
+  if (const char* wrong = Read(request, stream)) return Local(connection, 400, wrong);
+  // Two upstream requests under one id would be two attempts out at once.
+  if (ids_.contains(stream.call_id)) return Local(connection, 409, "open-id");
+  if (core_->buffers->Scarce()) return Local(connection, 503, "memory", "Retry-After: 1\r\n");
+  stream.method = request.method;
+  stream.target = request.target;
+  if (const std::string* type = request.Header("content-type")) stream.content_type = *type;
+  stream.body = std::move(request.body);
+  stream.sent_at = request.first_byte;
+  ids_.insert(stream.call_id);
+  open_[connection] = {0, stream.call_id, false};
+  const Handle handle = core_->streams->Open(std::move(stream), this, connection);
+  // It may be answered already, and the connection on to its next request.
+  if (core_->streams->Get(handle) != nullptr) open_[connection].stream = handle;
+}
+
+const char* PlatformFront::Read(const HttpRequest& request, StreamRequest& stream) const {
+  canvasspread::RequestArrived& a = stream.arrival;
+  const auto text = [&](const char* name) -> std::string_view {
+    const std::string* value = request.Header(name);
+    return value == nullptr ? std::string_view() : std::string_view(*value);
+  };
+  std::uint64_t id = 0;
+  if (!Hex(text("x-call-id"), &id)) return "X-Call-Id";
+  stream.call_id = text("x-call-id");
+
+  const auto& classes = core_->config->settings.classes;
+  const auto cls = std::find_if(classes.begin(), classes.end(),
+                                [&](const auto& c) { return c.name == text("x-call-class"); });
+  if (cls == classes.end() || cls->name.empty()) return "X-Call-Class";
+  a.cls = static_cast<int>(cls - classes.begin());
+
+  double budget = 0;
+  if (!Amount(text("x-budget"), kMostBudget, &budget)) return "X-Budget";
+  a.patience = static_cast<Time>(std::llround(budget * 1e6));
+
+  if (!text("x-route-hash").empty()) a.session = Name(text("x-route-hash"));
+  a.prompt_tokens = static_cast<double>(request.body.size()) / kCharsPerToken;
+  std::string_view info = text("x-call-info");
+  while (!info.empty()) {
+    std::string_view item = info.substr(0, info.find(','));
+    info.remove_prefix(std::min(item.size() + 1, info.size()));
+    while (!item.empty() && item.front() == ' ') item.remove_prefix(1);
+    const std::size_t eq = item.find('=');
+    if (eq == std::string_view::npos) return "X-Call-Info";
+    const std::string_view key = item.substr(0, eq), value = item.substr(eq + 1);
+    bool good = true;
+    if (key == "prefix") a.prefix = Name(value);
+    if (key == "prompt_len") good = Amount(value, 1e9, &a.prompt_tokens);
+    if (key == "prefix_len") good = Amount(value, 1e9, &a.prefix_tokens);
+    if (key == "max_out") good = Amount(value, 1e9, &a.max_answer_tokens);
+    if (!good) return "X-Call-Info";
+  }
+  double cost = 0;
+  if (!text("x-call-cost").empty() && !Amount(text("x-call-cost"), 1e12, &cost)) return "X-Call-Cost";
+  a.cost_hint = static_cast<Time>(cost);
+  a.client_retry = text("x-again") == "1";
+  a.resumed = text("x-again") == "again";
+  return nullptr;
+}
+
+void PlatformFront::Health(Handle connection, const HttpRequest& request) {
+  if (request.method != "GET") return Local(connection, 405, "method", "Allow: GET\r\n");
+  const bool well = !downstream_->draining() && core_->discovery->ready();
+  downstream_->Reply(connection, well ? 200 : 503, "Content-Type: text/plain\r\n",
+                     well ? "ok\n" : "not ready\n");
+}
+
+void PlatformFront::Local(Handle connection, int status, const char* why, const std::string& headers) {
+  Log("local-reply status=%d why=%s", status, why);
+  downstream_->Reply(connection, status, headers + "Content-Type: text/plain\r\n", std::string(why) + "\n");
+}
+
+void PlatformFront::Forget(Handle connection) {
+  const auto it = open_.find(connection);
+  if (it == open_.end()) return;
+  ids_.erase(it->second.call_id);
+  open_.erase(it);
+}
+
+void PlatformFront::OnGone(Handle connection) {
+  const auto it = open_.find(connection);
+  if (it == open_.end()) return;
+  const Handle stream = it->second.stream;
+  Forget(connection);
+  core_->streams->ClientGone(stream);
+}
+
+void PlatformFront::OnFlow(Handle connection, bool congested) {
+  const auto it = open_.find(connection);
+  if (it != open_.end()) core_->streams->Pause(it->second.stream, congested);
+}
+
+void PlatformFront::OnData(Handle connection, std::string_view events) {
+  const auto it = open_.find(connection);
+  if (it == open_.end()) return;
+  if (!std::exchange(it->second.begun, true)) {
+    downstream_->BeginChunks(connection, "Content-Type: text/event-stream\r\nCache-Control: no-cache\r\n");
+  }
+  downstream_->Chunk(connection, events);
+}
+
+void PlatformFront::OnWhole(Handle connection) {
+  Forget(connection);
+  downstream_->EndChunks(connection);
+}
+
+void PlatformFront::OnBroken(Handle connection) {
+  Forget(connection);
+  downstream_->Abort(connection);
+}
+
+void PlatformFront::OnRefused(Handle connection, Time retry_after) {
+  const auto it = open_.find(connection);
+  if (it == open_.end()) return;
+  Log("local-reply status=503 why=refused id=%s", it->second.call_id.c_str());
+  Forget(connection);
+  char after[48] = "";
+  if (retry_after > 0) {
+    std::snprintf(after, sizeof after, "Retry-After: %.3f\r\n", static_cast<double>(retry_after) / 1e6);
+  }
+  downstream_->Reply(connection, 503, after, "");
+}
+
+void PlatformFront::OnFailed(Handle connection) {
+  const auto it = open_.find(connection);
+  if (it == open_.end()) return;
+  Log("local-reply status=502 why=failed id=%s", it->second.call_id.c_str());
+  Forget(connection);
+  downstream_->Reply(connection, 502, "", "");
+}
+
+}  // namespace ryeglade
--- /dev/null
+++ b/src/net/slots.h
@@ -0,0 +1,68 @@
+// Tables of numbered slots. A Handle names a slot and the generation that lives in it, so that a callback
+// that comes late, for something that has ended, finds nothing and does nothing.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace ryeglade {
+
+using Handle = std::uint64_t;  // generation in the upper half, slot in the lower; 0: none
+
+template <class T>
+class Slots {
+ public:
+  Handle Add(T value) {
+    if (free_.empty()) {
+      free_.push_back(static_cast<std::uint32_t>(slots_.size()));
+      slots_.emplace_back();
+    }
+    const std::uint32_t at = free_.back();
+    free_.pop_back();
+    Slot& slot = slots_[at];
+    slot.value.emplace(std::move(value));
+    ++size_;
+    return (Handle{slot.generation} << 32) | at;
+  }
+
+  T* Get(Handle handle) {
+    const auto at = static_cast<std::uint32_t>(handle);
+    if (at >= slots_.size()) return nullptr;
+    Slot& slot = slots_[at];
+    return slot.value && slot.generation == handle >> 32 ? &*slot.value : nullptr;
+  }
+
+  void Remove(Handle handle) {
+    if (Get(handle) == nullptr) return;
+    const auto at = static_cast<std::uint32_t>(handle);
+    slots_[at].value.reset();
+    if (++slots_[at].generation == 0) slots_[at].generation = 1;
+    free_.push_back(at);
+    --size_;
+  }
+
+  std::size_t size() const { return size_; }
+
+  std::vector<Handle> All() const {
+    std::vector<Handle> all;
+    for (std::size_t at = 0; at < slots_.size(); ++at) {
+      if (slots_[at].value) all.push_back((Handle{slots_[at].generation} << 32) | at);
+    }
+    return all;
+  }
+
+ private:
+  struct Slot {
+    std::uint32_t generation = 1;
+    std::optional<T> value;
+  };
+  std::deque<Slot> slots_;  // a deque: pointers stay good while the table grows
+  std::vector<std::uint32_t> free_;
+  std::size_t size_ = 0;
+};
+
+}  // namespace ryeglade
--- /dev/null
+++ b/src/net/streams.cpp
@@ -0,0 +1,114 @@
+#include "streams.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "decisions.h"
+#include "log.h"
+#include "upstream.h"
+
+namespace ryeglade {
+namespace {
+
+constexpr Time kGuardMargin = 10'000;
+constexpr Time kGuardRetryAfter = 1'000'000;
+
+}  // namespace
+
+Handle Streams::Open(StreamRequest request, StreamSink* sink, Handle client) {
+  const Time now = Now();
+  const Time patience = std::max<Time>(0, request.arrival.patience - (now - request.sent_at));
+  Stream stream{std::move(request), nullptr, 0, 0, 0, 0, false, {}};
+  stream.sink = sink;
+  stream.client = client;
+  stream.deadline = now + patience;
+  const Handle handle = table_.Add(std::move(stream));
+  Stream& s = *table_.Get(handle);
+  s.request.arrival.id = handle;
+  s.request.arrival.patience = patience;
+  // Guards against a stream that nothing answers: the module answers sooner, or the upstream request's own
+  // time-out makes it do so.
+  s.guard =
+      core_->deadlines->Set(s.deadline - Margin(patience, kGuardMargin), [this, handle] { Guard(handle); });
+  core_->decisions->Post(s.request.arrival);
+  return handle;
+}
+
+void Streams::Guard(Handle handle) {
+  const Stream* s = table_.Get(handle);
+  if (s == nullptr || s->started) return;
+  Log("guard-reply id=%s", s->request.call_id.c_str());
+  const Handle attempt = s->upstream_request;
+  core_->decisions->Post(canvasspread::ClientGone{handle});  // to the module it is over
+  Refuse(handle, kGuardRetryAfter);
+  core_->upstream->Cancel(attempt);
+}
+
+void Streams::ClientGone(Handle handle) {
+  Handle client = 0;
+  const Stream* s = table_.Get(handle);
+  if (s == nullptr) return;
+  Log("client-gone id=%s started=%d", s->request.call_id.c_str(), s->started ? 1 : 0);
+  const Handle attempt = s->upstream_request;
+  End(handle, &client);
+  core_->decisions->Post(canvasspread::ClientGone{handle});
+  core_->upstream->Cancel(attempt);
+}
+
+void Streams::Pause(Handle handle, bool pause) {
+  if (const Stream* s = table_.Get(handle)) core_->upstream->Pause(s->upstream_request, pause);
+}
+
+void Streams::Data(Handle handle, std::string_view events) {
+  Stream* s = table_.Get(handle);
+  if (s == nullptr) return;
+  if (!s->started) {
+    s->started = true;
+    core_->deadlines->Cancel(s->guard);
+    s->request.body.Clear();  // it is not sent again from here on
+  }
+  s->sink->OnData(s->client, events);
+}
+
+void Streams::Whole(Handle handle) {
+  Handle client = 0;
+  if (StreamSink* sink = End(handle, &client)) sink->OnWhole(client);
+}
+
+void Streams::Broken(Handle handle) {
+  Handle client = 0;
+  if (StreamSink* sink = End(handle, &client)) sink->OnBroken(client);
+}
+
+void Streams::Refuse(Handle handle, Time retry_after) {
+  Handle client = 0;
+  if (const Stream* s = table_.Get(handle); s != nullptr && s->started) return;
+  if (StreamSink* sink = End(handle, &client)) sink->OnRefused(client, retry_after);
+}
+
+void Streams::Fail(Handle handle) {
+  Handle client = 0;
+  if (const Stream* s = table_.Get(handle); s != nullptr && s->started) return;
+  if (StreamSink* sink = End(handle, &client)) sink->OnFailed(client);
+}
+
+// The client asks for the rest as a new stream once its connection ends without the last chunk.
+void Streams::Move(Handle handle) {
+  const Stream* s = table_.Get(handle);
+  if (s == nullptr || !s->started) return;
+  const Handle attempt = s->upstream_request;
+  Broken(handle);
+  core_->upstream->Cancel(attempt);
+}
+
+StreamSink* Streams::End(Handle handle, Handle* client) {
+  Stream* s = table_.Get(handle);
+  if (s == nullptr) return nullptr;
+  core_->deadlines->Cancel(s->guard);
+  *client = s->client;
+  StreamSink* sink = s->sink;
+  table_.Remove(handle);
+  return sink;
+}
+
+}  // namespace ryeglade
--- /dev/null
+++ b/src/net/streams.h
@@ -0,0 +1,76 @@
+// Streams: the requests that the node has taken. Each has a slot here until its one final answer is given,
+// whoever gives it: an upstream host, the decision module, or the guard that watches the client's budget.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "core.h"
+#include "slots.h"
+
+namespace ryeglade {
+
+// A request as any front hands it in. `arrival.patience` counts from `sent_at`.
+struct StreamRequest {
+  std::string method, target, call_id, content_type;
+  Chain body;
+  canvasspread::RequestArrived arrival;
+  Time sent_at = 0;
+};
+
+// The front's side of a stream. `client` is the front's own name for it. Of the last four, exactly one comes.
+class StreamSink {
+ public:
+  virtual ~StreamSink() = default;
+  virtual void OnData(Handle client, std::string_view events) = 0;  // the first call starts the answer
+  virtual void OnWhole(Handle client) = 0;
+  virtual void OnBroken(Handle client) = 0;  // after data, before the end
+  virtual void OnRefused(Handle client, Time retry_after) = 0;
+  virtual void OnFailed(Handle client) = 0;
+};
+
+struct Stream {
+  StreamRequest request;
+  StreamSink* sink = nullptr;
+  Handle client = 0;
+  Time deadline = 0;
+  int attempts = 0;
+  Handle upstream_request = 0;  // the one that is out
+  bool started = false;
+  DeadlineId guard;
+};
+
+class Streams {
+ public:
+  explicit Streams(Core* core) : core_(core) {}
+
+  // From the front. Open may answer before it returns; the handle is then already old.
+  Handle Open(StreamRequest request, StreamSink* sink, Handle client);
+  void ClientGone(Handle stream);
+  void Pause(Handle stream, bool pause);  // the client does not drain what it is sent, or does again
+
+  // From the upstream side.
+  void Data(Handle stream, std::string_view events);
+  void Whole(Handle stream);
+  void Broken(Handle stream);
+
+  // From the decisions.
+  void Refuse(Handle stream, Time retry_after);
+  void Fail(Handle stream);
+  void Move(Handle stream);
+
+  Stream* Get(Handle stream) { return table_.Get(stream); }
+  std::size_t size() const { return table_.size(); }
+
+  // How long before a deadline the node acts, so that the answer is with the client in time.
+  static Time Margin(Time patience, Time usual) { return std::min(usual, std::max<Time>(0, patience / 4)); }
+
+ private:
+  void Guard(Handle stream);
+  StreamSink* End(Handle stream, Handle* client);  // frees the slot; null: it was free already
+
+  Core* core_;
+  Slots<Stream> table_;
+};
+
+}  // namespace ryeglade
--- /dev/null
+++ b/src/net/tcp.cpp
@@ -0,0 +1,127 @@
+#include "tcp.h"
+
+#include <array>
+#include <charconv>
+#include <vector>
+
+namespace ryeglade {
+namespace {
+
+// libuv asks for room and hands it back filled within one call, so all sockets share one piece.
+std::array<char, 64 * 1024>& ReadRoom() {
+  static std::array<char, 64 * 1024> room;
+  return room;
+}
+
+}  // namespace
+
+bool ParseAddress(const std::string& text, sockaddr_storage* address) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return false;
+  unsigned port = 0;
+  const char* end = text.data() + text.size();
+  const auto [at, error] = std::from_chars(text.data() + colon + 1, end, port);
+  if (error != std::errc() || at != end || port > 65535) return false;
+  const std::string host = text.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    return uv_ip6_addr(host.substr(1, host.size() - 2).c_str(), static_cast<int>(port),
+                       reinterpret_cast<sockaddr_in6*>(address)) == 0;
+  }
+  return uv_ip4_addr(host.c_str(), static_cast<int>(port), reinterpret_cast<sockaddr_in*>(address)) == 0;
+}
+
+Tcp* Tcp::New(uv_loop_t* loop, Buffers* pool, TcpOwner* owner, Handle handle) {
+  Tcp* tcp = new Tcp(pool, owner, handle);
+  uv_tcp_init(loop, &tcp->tcp_);
+  tcp->tcp_.data = tcp;
+  return tcp;
+}
+
+bool Tcp::Accept(uv_stream_t* listener) {
+  if (uv_accept(listener, stream()) != 0) return false;
+  uv_tcp_nodelay(&tcp_, 1);
+  return true;
+}
+
+bool Tcp::Connect(const sockaddr_storage& address) {
+  connect_.data = this;
+  const int started = uv_tcp_connect(&connect_, &tcp_, reinterpret_cast<const sockaddr*>(&address),
+                                     [](uv_connect_t* c, int status) {
+                                       Tcp* tcp = static_cast<Tcp*>(c->data);
+                                       if (tcp->closing_) return;
+                                       uv_tcp_nodelay(&tcp->tcp_, 1);
+                                       tcp->owner_->OnConnected(tcp->handle_, status);
+                                     });
+  return started == 0;
+}
+
+void Tcp::Read() {
+  uv_read_start(
+      stream(),
+      [](uv_handle_t*, std::size_t, uv_buf_t* buf) {
+        *buf = uv_buf_init(ReadRoom().data(), static_cast<unsigned>(ReadRoom().size()));
+      },
+      [](uv_stream_t* s, ssize_t n, const uv_buf_t* buf) {
+        Tcp* tcp = static_cast<Tcp*>(s->data);
+        if (tcp->closing_ || n == 0) return;
+        if (n < 0) {
+          tcp->owner_->OnEnded(tcp->handle_);
+        } else {
+          tcp->owner_->OnRead(tcp->handle_, {buf->base, static_cast<std::size_t>(n)});
+        }
+      });
+}
+
+bool Tcp::Write(std::initializer_list<std::string_view> parts) {
+  if (closing_) return false;
+  std::size_t taken = 0;
+  if (unsent() == 0) {
+    std::vector<uv_buf_t> bufs;
+    for (const std::string_view part : parts) {
+      bufs.push_back(uv_buf_init(const_cast<char*>(part.data()), static_cast<unsigned>(part.size())));
+    }
+    const int n = uv_try_write(stream(), bufs.data(), static_cast<unsigned>(bufs.size()));
+    if (n < 0 && n != UV_EAGAIN) return false;
+    if (n > 0) taken = static_cast<std::size_t>(n);
+  }
+  for (std::string_view part : parts) {
+    const std::size_t skip = std::min(taken, part.size());
+    taken -= skip;
+    part.remove_prefix(skip);
+    if (!queued_.Append(part)) return false;
+  }
+  return sending_.size() > 0 || queued_.size() == 0 || Send();
+}
+
+bool Tcp::Send() {
+  sending_ = std::move(queued_);
+  std::vector<uv_buf_t> bufs;
+  for (const std::string_view piece : sending_.Pieces()) {
+    bufs.push_back(uv_buf_init(const_cast<char*>(piece.data()), static_cast<unsigned>(piece.size())));
+  }
+  write_.data = this;
+  return uv_write(&write_, stream(), bufs.data(), static_cast<unsigned>(bufs.size()),
+                  [](uv_write_t* w, int status) {
+                    Tcp* tcp = static_cast<Tcp*>(w->data);
+                    if (tcp->closing_) return;
+                    if (status != 0) return tcp->owner_->OnEnded(tcp->handle_);
+                    tcp->sending_.Clear();
+                    if (tcp->queued_.size() > 0) {
+                      if (!tcp->Send()) tcp->owner_->OnEnded(tcp->handle_);
+                      return;
+                    }
+                    tcp->owner_->OnDrained(tcp->handle_);
+                  }) == 0;
+}
+
+void Tcp::EndWriting() {
+  if (!closing_) uv_shutdown(&shutdown_, stream(), nullptr);
+}
+
+void Tcp::Close() {
+  if (closing_) return;
+  closing_ = true;
+  uv_close(reinterpret_cast<uv_handle_t*>(&tcp_), [](uv_handle_t* h) { delete static_cast<Tcp*>(h->data); });
+}
+
+}  // namespace ryeglade
--- /dev/null
+++ b/src/net/tcp.h
@@ -0,0 +1,59 @@
+// One TCP socket on the loop, client side or server side. It belongs to a slot of its owner's table and
+// reports by handle; after Close nothing more is reported.
+#pragma once
+
+#include <uv.h>
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+#include "buffers.h"
+#include "slots.h"
+
+namespace ryeglade {
+
+class TcpOwner {
+ public:
+  virtual ~TcpOwner() = default;
+  virtual void OnConnected(Handle, int /*status*/) {}
+  virtual void OnRead(Handle handle, std::string_view bytes) = 0;
+  virtual void OnEnded(Handle handle) = 0;  // the peer closed, or the connection broke
+  virtual void OnDrained(Handle) {}         // all that was written is with the kernel
+};
+
+bool ParseAddress(const std::string& text, sockaddr_storage* address);  // "ip:port", "[ip]:port"
+
+class Tcp {
+ public:
+  static Tcp* New(uv_loop_t* loop, Buffers* pool, TcpOwner* owner, Handle handle);
+  bool Accept(uv_stream_t* listener);
+  bool Connect(const sockaddr_storage& address);
+  void Read();
+  void StopReading() { uv_read_stop(stream()); }
+  // Writes at once what the kernel takes and keeps the rest; false: the connection is broken or the pool is
+  // spent, and the owner should close.
+  bool Write(std::string_view bytes) { return Write({bytes}); }
+  bool Write(std::initializer_list<std::string_view> parts);
+  std::size_t unsent() const { return sending_.size() + queued_.size(); }
+  void EndWriting();  // a FIN after all that was written
+  void Close();       // the object is gone once the loop has closed the socket
+
+ private:
+  Tcp(Buffers* pool, TcpOwner* owner, Handle handle)
+      : pool_(pool), owner_(owner), handle_(handle), sending_(pool), queued_(pool) {}
+  uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&tcp_); }
+  bool Send();
+
+  uv_tcp_t tcp_{};
+  uv_connect_t connect_{};
+  uv_write_t write_{};
+  uv_shutdown_t shutdown_{};
+  Buffers* pool_;
+  TcpOwner* owner_;
+  Handle handle_;
+  Chain sending_, queued_;
+  bool closing_ = false;
+};
+
+}  // namespace ryeglade
--- /dev/null
+++ b/src/net/upstream.cpp
@@ -0,0 +1,433 @@
+#include "upstream.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+#include "decisions.h"
+#include "log.h"
+#include "streams.h"
+
+namespace ryeglade {
+namespace {
+
+constexpr Time kTimeoutMargin = 25'000;  // an attempt ends this long before the client's time is up
+constexpr Time kSilence = 4'000'000;     // a stream silent for longer is broken; clients wait 5 s
+constexpr Time kProbeTimeout = 1'000'000;
+constexpr Time kIdleMargin = 500'000;  // idle connections go this long before the host closes them
+constexpr std::size_t kTail = 512;     // holds the usage line and the report at a stream's end
+
+const char* Name(Outcome o) {
+  switch (o) {
+    case Outcome::kServed:
+      return "served";
+    case Outcome::kError:
+      return "error";
+    case Outcome::kFull:
+      return "full";
+    case Outcome::kTimeout:
+      return "timeout";
+    case Outcome::kConnectFailed:
+      return "connect-failed";
+    case Outcome::kReset:
+      return "reset";
+    case Outcome::kCancelled:
+      return "cancelled";
+    case Outcome::kNotSent:
+      return "not-sent";
+  }
+  return "?";
+}
+
+// The number that follows `name` last in the text; 0: none. Names that an answer's own text holds are quoted
+// there with backslashes, so they do not match.
+double NumberAfter(std::string_view text, std::string_view name) {
+  std::size_t at = text.rfind(name);
+  if (at == std::string_view::npos) return 0;
+  at += name.size();
+  while (at < text.size() && (text[at] == ' ' || text[at] == ':')) ++at;
+  double number = 0;
+  std::from_chars(text.data() + at, text.data() + text.size(), number);
+  return number;
+}
+
+}  // namespace
+
+// ---- Hosts and connections ----
+
+void Upstream::SetHost(ReplicaId id, const std::string& host_port) {
+  Host& host = hosts_[id];
+  if (host.host_port == host_port) return;
+  if (!host.host_port.empty()) Log("host-moved replica=%08x to=%s", id, host_port.c_str());
+  const std::vector<Handle> idle = std::exchange(host.idle, {});
+  for (const Handle c : idle) Drop(c);
+  host.host_port = host_port;
+  ParseAddress(host_port, &host.address);
+}
+
+void Upstream::RemoveHost(ReplicaId id) {
+  const auto it = hosts_.find(id);
+  if (it == hosts_.end()) return;
+  const std::vector<Handle> idle = std::exchange(it->second.idle, {});
+  for (const Handle c : idle) Drop(c);
+  hosts_.erase(it);
+}
+
+// Guards against running out of descriptors: the connection that has been idle longest goes first.
+bool Upstream::MakeRoom() {
+  if (connections_.size() < most_sockets_) return true;
+  Handle oldest = 0;
+  Time since = 0;
+  for (const auto& [id, host] : hosts_) {
+    if (host.idle.empty()) continue;
+    const Connection* c = connections_.Get(host.idle.front());
+    if (c != nullptr && (oldest == 0 || c->idle_since < since)) {
+      oldest = host.idle.front();
+      since = c->idle_since;
+    }
+  }
+  if (oldest == 0) return false;
+  Drop(oldest);
+  return true;
+}
+
+Handle Upstream::Connect(ReplicaId to, Handle request) {
+  if (!MakeRoom()) return 0;
+  const Handle handle = connections_.Add({});
+  Connection& c = *connections_.Get(handle);
+  c.host = to;
+  c.request = request;
+  c.tcp = Tcp::New(core_->loop, core_->buffers, this, handle);
+  c.deadline = core_->deadlines->Set(Now() + core_->config->settings.connect_timeout, [this, handle] {
+    const Connection* late = connections_.Get(handle);
+    if (late != nullptr && !late->connected) Finish(late->request, Outcome::kConnectFailed);
+  });
+  if (c.tcp->Connect(hosts_.at(to).address)) return handle;
+  Drop(handle);
+  return 0;
+}
+
+void Upstream::Drop(Handle handle) {
+  Connection* c = connections_.Get(handle);
+  if (c == nullptr) return;
+  const auto host = hosts_.find(c->host);
+  if (host != hosts_.end()) std::erase(host->second.idle, handle);
+  core_->deadlines->Cancel(c->deadline);
+  c->tcp->Close();
+  connections_.Remove(handle);
+}
+
+// Back to the pool, to be dropped some time before the host would: a request that crosses the host's own
+// close ends as a reset.
+void Upstream::Park(Handle handle) {
+  Connection& c = *connections_.Get(handle);
+  const auto host = hosts_.find(c.host);
+  if (host == hosts_.end()) return Drop(handle);
+  c.request = 0;
+  c.written = false;
+  c.response = {};
+  c.tcp->Read();  // it may have been paused for its last client
+  c.idle_since = Now();
+  const Time most = core_->config->idle_close;
+  core_->deadlines->Cancel(c.deadline);
+  c.deadline = core_->deadlines->Set(c.idle_since + most - std::min(kIdleMargin, most / 4),
+                                     [this, handle] { Drop(handle); });
+  host->second.idle.push_back(handle);
+}
+
+void Upstream::Close() {
+  for (const Handle c : connections_.All()) Drop(c);
+}
+
+// ---- Requests ----
+
+void Upstream::Send(Handle stream, ReplicaId to, Time timeout) {
+  Stream* s = core_->streams->Get(stream);
+  Request r;
+  r.stream = stream;
+  r.replica = to;
+  if (s == nullptr) {
+    // Which attempt it would have been is gone with the stream; the module passes over those that are not
+    // out.
+    for (int n = 0; n < core_->config->settings.max_attempts; ++n) {
+      core_->decisions->Post(canvasspread::AttemptEnded{stream, n, to, Outcome::kNotSent, 0, true, 0, {}});
+    }
+    return;
+  }
+  r.attempt = s->attempts++;
+  const Time now = Now();
+  const Time patience = s->deadline - now;
+  Time deadline = s->deadline - Streams::Margin(patience, kTimeoutMargin);
+  if (timeout > 0) deadline = std::min(deadline, now + timeout);
+  if (s->started || s->upstream_request != 0 || patience <= 0) {
+    core_->decisions->Post(
+        canvasspread::AttemptEnded{stream, r.attempt, to, Outcome::kNotSent, 0, s->started, 0, {}});
+    return;
+  }
+  Begin(r, deadline);
+}
+
+void Upstream::Probe(ReplicaId to) {
+  Request r;
+  r.replica = to;
+  Begin(r, Now() + kProbeTimeout);
+}
+
+void Upstream::Begin(Request request, Time deadline) {
+  request.sent_at = Now();
+  const Handle handle = requests_.Add(request);
+  Request& r = *requests_.Get(handle);
+  if (Stream* s = core_->streams->Get(r.stream)) s->upstream_request = handle;
+  const auto host = hosts_.find(r.replica);
+  if (host == hosts_.end()) return Finish(handle, Outcome::kConnectFailed);
+  r.deadline = core_->deadlines->Set(deadline, [this, handle] {
+    const Request* late = requests_.Get(handle);
+    if (late == nullptr) return;
+    const Connection* c = connections_.Get(late->connection);
+    Finish(handle, c != nullptr && c->written ? Outcome::kTimeout : Outcome::kConnectFailed);
+  });
+  if (!host->second.idle.empty()) {
+    r.connection = host->second.idle.back();
+    host->second.idle.pop_back();
+    connections_.Get(r.connection)->request = handle;
+    return Write(r.connection);
+  }
+  const bool room = MakeRoom();
+  r.connection = Connect(r.replica, handle);
+  if (r.connection != 0) return;
+  if (!room) Log("no-socket replica=%08x", r.replica);
+  Finish(handle, room ? Outcome::kConnectFailed : Outcome::kNotSent);
+}
+
+void Upstream::Write(Handle handle) {
+  Connection& c = *connections_.Get(handle);
+  core_->deadlines->Cancel(c.deadline);
+  c.response = {};
+  http_parser_init(&c.parser, HTTP_RESPONSE);
+  c.parser.data = &c.response;
+  const Request& r = *requests_.Get(c.request);
+  const std::string& host_port =
+      hosts_.contains(c.host) ? hosts_.at(c.host).host_port : std::string("replica");
+  bool ok = false;
+  if (const Stream* s = core_->streams->Get(r.stream)) {
+    const StreamRequest& q = s->request;
+    char budget[32];
+    std::snprintf(budget, sizeof budget, "%.3f",
+                  static_cast<double>(std::max<Time>(0, s->deadline - Now())) / 1e6);
+    const std::string head = q.method + " " + q.target + " HTTP/1.1\r\nHost: " + host_port +
+                             "\r\nX-Call-Id: " + q.call_id + "\r\nX-Budget: " + budget +
+                             (q.content_type.empty() ? "" : "\r\nContent-Type: " + q.content_type) +
+                             "\r\nContent-Length: " + std::to_string(q.body.size()) + "\r\n\r\n";
+    ok = c.tcp->Write(head);
+    for (const std::string_view piece : q.body.Pieces()) ok = ok && c.tcp->Write(piece);
+  } else {
+    const bool reports = !core_->config->settings.load_fields.empty();
+    ok = c.tcp->Write(std::string("GET ") + (reports ? "/_load" : "/ping") +
+                      " HTTP/1.1\r\nHost: " + host_port + "\r\n\r\n");
+  }
+  c.written = ok;
+  if (!ok) Broke(handle);
+}
+
+void Upstream::OnConnected(Handle handle, int status) {
+  Connection* c = connections_.Get(handle);
+  if (c == nullptr) return;
+  if (status != 0) return Finish(c->request, Outcome::kConnectFailed);
+  c->connected = true;
+  c->tcp->Read();
+  Write(handle);
+}
+
+void Upstream::OnEnded(Handle handle) {
+  const Connection* c = connections_.Get(handle);
+  if (c == nullptr) return;
+  c->request == 0 ? Drop(handle) : Broke(handle);
+}
+
+// The outcome hangs on whether the request's last byte had been written: only then may it have run.
+void Upstream::Broke(Handle handle) {
+  const Connection& c = *connections_.Get(handle);
+  Finish(c.request, c.written && c.tcp->unsent() == 0 ? Outcome::kReset : Outcome::kConnectFailed);
+}
+
+const http_parser_settings& Upstream::Callbacks() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings s;
+    http_parser_settings_init(&s);
+    s.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
+      Response& r = *static_cast<Response*>(p->data);
+      if (!r.value.empty()) {
+        r.field.clear();
+        r.value.clear();
+      }
+      r.field.append(at, n);
+      return 0;
+    };
+    s.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
+      Response& r = *static_cast<Response*>(p->data);
+      r.value.append(at, n);
+      if (strcasecmp(r.field.c_str(), "x-rejected") == 0) r.rejected = r.value == "1";
+      if (strcasecmp(r.field.c_str(), "x-load-report") == 0) r.report = r.value;
+      return 0;
+    };
+    s.on_headers_complete = [](http_parser* p) {
+      Response& r = *static_cast<Response*>(p->data);
+      r.status = p->status_code;
+      r.framed = (p->flags & F_CHUNKED) != 0 || (p->flags & F_CONTENTLENGTH) != 0;
+      r.keep = http_should_keep_alive(p) != 0;
+      return 0;
+    };
+    s.on_body = [](http_parser* p, const char* at, std::size_t n) {
+      Response& r = *static_cast<Response*>(p->data);
+      r.pieces.emplace_back(at, n);
+      return 0;
+    };
+    s.on_message_complete = [](http_parser* p) {
+      Response& r = *static_cast<Response*>(p->data);
+      r.complete = r.status >= 200;
+      if (r.complete) http_parser_pause(p, 1);  // what comes after it belongs to nothing
+      return 0;
+    };
+    return s;
+  }();
+  return settings;
+}
+
+void Upstream::OnRead(Handle handle, std::string_view bytes) {
+  Connection* c = connections_.Get(handle);
+  if (c == nullptr) return;
+  if (c->request == 0) return Drop(handle);  // an answer to nothing
+  const Handle request = c->request;
+  c->response.pieces.clear();
+  const std::size_t parsed = http_parser_execute(&c->parser, &Callbacks(), bytes.data(), bytes.size());
+  const http_errno error = HTTP_PARSER_ERRNO(&c->parser);
+  const bool good = error == HPE_OK || (error == HPE_PAUSED && c->response.complete);
+  if (parsed < bytes.size()) c->response.keep = false;
+  // Only now, outside the parser, may anything happen that could drop this connection.
+  const std::vector<std::string_view> pieces = std::move(c->response.pieces);
+  for (const std::string_view piece : pieces) {
+    Request* r = requests_.Get(request);
+    if (r == nullptr) return;
+    c->response.tail.append(piece);
+    if (c->response.tail.size() > 2 * kTail) c->response.tail.erase(0, c->response.tail.size() - kTail);
+    r->last_byte = Now();
+    if (r->stream == 0 || c->response.status != 200) continue;
+    if (!r->started) {
+      r->started = true;
+      core_->deadlines->Cancel(r->deadline);
+      r->deadline = core_->deadlines->Set(r->last_byte + kSilence, [this, request] { Silence(request); });
+      core_->decisions->Post(
+          canvasspread::AnswerStarted{r->stream, r->attempt, r->replica, r->last_byte - r->sent_at});
+    }
+    core_->streams->Data(r->stream, piece);
+  }
+  const Request* r = requests_.Get(request);
+  if (r == nullptr) return;
+  if (!good) {
+    Finish(request, Outcome::kReset);
+  } else if (c->response.complete) {
+    Finish(request, Result(c->response, *r));
+  }
+}
+
+Outcome Upstream::Result(const Response& response, const Request& request) const {
+  if (response.status == 200)
+    return request.stream == 0 || request.started ? Outcome::kServed : Outcome::kError;
+  const bool away = (response.status == 503 || response.status == 504) && response.rejected;
+  return away || (request.stream == 0 && response.status == 503) ? Outcome::kFull : Outcome::kError;
+}
+
+// Guards against a host that vanished: its connection stays open and says nothing.
+void Upstream::Silence(Handle handle) {
+  Request* r = requests_.Get(handle);
+  if (r == nullptr) return;
+  const Time now = Now();
+  if (r->paused) r->last_byte = now;  // it is the client that keeps it silent
+  if (now - r->last_byte >= kSilence) {
+    Log("silent replica=%08x after_ms=%lld", r->replica, static_cast<long long>((now - r->last_byte) / 1000));
+    return Finish(handle, Outcome::kReset);
+  }
+  r->deadline = core_->deadlines->Set(r->last_byte + kSilence, [this, handle] { Silence(handle); });
+}
+
+void Upstream::Pause(Handle handle, bool pause) {
+  Request* r = requests_.Get(handle);
+  if (r == nullptr || r->paused == pause) return;
+  r->paused = pause;
+  if (Connection* c = connections_.Get(r->connection)) pause ? c->tcp->StopReading() : c->tcp->Read();
+}
+
+void Upstream::Cancel(Handle request) {
+  if (requests_.Get(request) != nullptr) Finish(request, Outcome::kCancelled);
+}
+
+void Upstream::CancelAttempt(Handle stream, int attempt) {
+  const Stream* s = core_->streams->Get(stream);
+  if (s == nullptr || s->started) return;
+  const Request* r = requests_.Get(s->upstream_request);
+  if (r != nullptr && r->attempt == attempt) Cancel(s->upstream_request);
+}
+
+// The one outcome of an upstream request. Unless it ended well its connection is closed, and so given up on,
+// before anything else can be sent for the stream.
+void Upstream::Finish(Handle handle, Outcome outcome) {
+  Request* found = requests_.Get(handle);
+  if (found == nullptr) return;
+  core_->deadlines->Cancel(found->deadline);
+  const Request r = *found;
+  requests_.Remove(handle);
+  canvasspread::AttemptEnded ended{r.stream, r.attempt, r.replica, outcome, Now() - r.sent_at, false, 0, {}};
+  if (Connection* c = connections_.Get(r.connection)) {
+    const Response& response = c->response;
+    ended.kept_tokens = NumberAfter(response.tail, "\"cached_tokens\"");
+    std::string report = response.report;
+    const std::size_t at = response.tail.rfind(": X-Load-Report:");
+    if (at != std::string::npos)
+      report = response.tail.substr(at + 16, response.tail.find('\n', at) - at - 16);
+    if (r.stream == 0 && report.empty()) report = response.tail;
+    ended.load = Load(report);
+    const bool whole = response.complete && response.framed && response.keep && c->tcp->unsent() == 0;
+    whole ? Park(r.connection) : Drop(r.connection);
+  }
+  if (r.stream == 0) {
+    core_->decisions->Post(canvasspread::ProbeAnswered{r.replica, outcome, ended.elapsed, ended.load});
+    return;
+  }
+  Stream* s = core_->streams->Get(r.stream);
+  ended.request_concluded = s == nullptr || r.started || outcome == Outcome::kServed;
+  if (outcome != Outcome::kServed && outcome != Outcome::kCancelled) {
+    Log("attempt-ended id=%s n=%d replica=%08x outcome=%s started=%d ms=%lld",
+        s != nullptr ? s->request.call_id.c_str() : "-", r.attempt, r.replica, Name(outcome),
+        r.started ? 1 : 0, static_cast<long long>(ended.elapsed / 1000));
+  }
+  if (s != nullptr) s->upstream_request = 0;
+  if (outcome == Outcome::kServed) {
+    core_->streams->Whole(r.stream);
+  } else if (r.started) {
+    core_->streams->Broken(r.stream);
+  }
+  core_->decisions->Post(std::move(ended));
+}
+
+// "inflight=7,queue=2,util=0.61" in the order that the settings name; empty unless all are there.
+std::vector<double> Upstream::Load(const std::string& report) const {
+  std::vector<double> load;
+  for (const std::string& field : core_->config->load_fields) {
+    const std::string name = field + "=";
+    std::size_t at = report.find(name);
+    while (at != std::string::npos && at > 0 && report[at - 1] != ',' && report[at - 1] != ' ') {
+      at = report.find(name, at + 1);
+    }
+    if (at == std::string::npos) return {};
+    double value = 0;
+    const char* from = report.data() + at + name.size();
+    if (std::from_chars(from, report.data() + report.size(), value).ec != std::errc()) return {};
+    load.push_back(value);
+  }
+  return load;
+}
+
+}  // namespace ryeglade
--- /dev/null
+++ b/src/net/upstream.h
@@ -0,0 +1,108 @@
+// Upstream hosts, the pool of connections to each, and upstream requests: one attempt of a stream, or a
+// probe. Nothing is ever sent again here; what becomes of a stream after an outcome is the module's to
+// decide.
+#pragma once
+
+#include <http_parser.h>
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core.h"
+#include "slots.h"
+#include "tcp.h"
+
+namespace ryeglade {
+
+using canvasspread::Outcome;
+using canvasspread::ReplicaId;
+
+class Upstream : public TcpOwner {
+ public:
+  Upstream(Core* core, std::size_t most_sockets) : core_(core), most_sockets_(most_sockets) {}
+
+  // From discovery. A changed address leaves busy connections alone and drops the idle ones.
+  void SetHost(ReplicaId id, const std::string& host_port);
+  void RemoveHost(ReplicaId id);
+
+  // From the decisions.
+  void Send(Handle stream, ReplicaId to, Time timeout);
+  void CancelAttempt(Handle stream, int attempt);
+  void Probe(ReplicaId to);
+
+  // From the streams.
+  void Cancel(Handle request);
+  void Pause(Handle request, bool pause);
+
+  void Close();
+
+  void OnConnected(Handle connection, int status) override;
+  void OnRead(Handle connection, std::string_view bytes) override;
+  void OnEnded(Handle connection) override;
+
+ private:
+  struct Host {
+    std::string host_port;
+    sockaddr_storage address{};
+    std::vector<Handle> idle;  // the one used last at the end
+  };
+
+  struct Response {
+    int status = 0;
+    bool rejected = false;  // X-Rejected: 1
+    bool framed = false;    // its end can be told from a break
+    bool complete = false;
+    bool keep = false;
+    std::string field, value, report;
+    std::vector<std::string_view> pieces;  // of the body, within the read at hand
+    std::string tail;                      // the body's last bytes
+  };
+
+  struct Connection {
+    ReplicaId host = 0;
+    Tcp* tcp = nullptr;
+    http_parser parser{};
+    Response response;
+    bool connected = false;
+    bool written = false;  // the whole request was handed to the socket
+    Time idle_since = 0;
+    DeadlineId deadline;  // to be up, or idle no longer
+    Handle request = 0;
+  };
+
+  struct Request {
+    Handle stream = 0;  // 0: a probe
+    int attempt = 0;
+    ReplicaId replica = 0;
+    Time sent_at = 0;
+    Time last_byte = 0;
+    Handle connection = 0;
+    bool started = false;
+    bool paused = false;
+    DeadlineId deadline;
+  };
+
+  void Begin(Request request, Time deadline);
+  Handle Connect(ReplicaId to, Handle request);
+  bool MakeRoom();
+  void Write(Handle connection);
+  void Silence(Handle request);
+  void Finish(Handle request, Outcome outcome);
+  void Broke(Handle connection);
+  void Park(Handle connection);
+  void Drop(Handle connection);
+  Outcome Result(const Response& response, const Request& request) const;
+  std::vector<double> Load(const std::string& report) const;
+
+  static const http_parser_settings& Callbacks();
+
+  Core* core_;
+  std::size_t most_sockets_;
+  std::map<ReplicaId, Host> hosts_;
+  Slots<Connection> connections_;
+  Slots<Request> requests_;
+};
+
+}  // namespace ryeglade
