--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -21,7 +21,7 @@
 constexpr Time kConnectWithin = 1'000'000;
 constexpr Time kAnswerWithin = 3'000'000;
 constexpr Time kLineWithin = 5'000'000;  // an idle watch says something every 2 s
-constexpr std::size_t kMostText = 8 * 1024 * 1024;
+constexpr std::size_t kMostText = std::size_t{8} * 1024 * 1024;
 
 }  // namespace
 
--- a/src/net/downstream.cpp
+++ b/src/net/downstream.cpp
@@ -10,13 +10,15 @@
 namespace ryeglade {
 namespace {
 
-constexpr std::size_t kMostBody = 256 * 1024;
-constexpr std::size_t kMostAhead = 16 * 1024;
-constexpr std::size_t kCongested = 128 * 1024;  // unsent bytes at which the source is asked to stop
-constexpr Time kReadWithin = 10'000'000;        // a whole request, from its first byte
-constexpr Time kDrainWithin = 10'000'000;       // a congested client that takes nothing for this long is gone
-constexpr Time kLinger = 1'000'000;             // for a last answer to arrive before the socket goes
-constexpr Time kIdleFrom = 200'000;             // what a request may take to follow its connection
+constexpr std::size_t kMostBody = std::size_t{256} * 1024;
+constexpr std::size_t kMostAhead = std::size_t{16} * 1024;
+constexpr std::size_t kCongested =
+    std::size_t{128} * 1024;               // unsent bytes at which the source is asked to stop
+constexpr Time kReadWithin = 10'000'000;   // a whole request, from its first byte
+constexpr Time kDrainWithin = 10'000'000;  // a congested client that takes nothing for this long is gone
+constexpr Time kLinger = 1'000'000;        // for a last answer to arrive before the socket goes
+constexpr Time kIdleFrom = 200'000;        // what a request may take to follow its connection
+constexpr Time kAcceptAgain = 20'000;
 constexpr std::uint32_t kMostHead = 16 * 1024;
 constexpr int kBacklog = 1024;
 
@@ -111,9 +113,14 @@
 void Downstream::Accept() {
   if (!MakeRoom() && clients_.size() >= most_ + surplus_) {
     if (!waiting_) Log("accept-waits clients=%zu", clients_.size());
-    waiting_ = true;  // Drop goes on from here
+    waiting_ = true;
+    // Guards against a connection that is never taken up: clients that become idle close nothing themselves.
+    core_->deadlines->Set(Now() + kAcceptAgain, [this] {
+      if (listening_) Accept();
+    });
     return;
   }
+  waiting_ = false;
   AcceptOne();
 }
 
@@ -135,12 +142,6 @@
   core_->deadlines->Cancel(c->deadline);
   c->tcp->Close();
   clients_.Remove(handle);
-  if (waiting_) {
-    waiting_ = false;
-    core_->deadlines->Set(Now(), [this] {
-      if (listening_) Accept();
-    });
-  }
 }
 
 // The client left or its connection broke. Told to the front if an answer is owed.
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -1,24 +1,40 @@
 #include "log.h"
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <array>
 #include <cstdarg>
 #include <cstdio>
+#include <utility>
 
 #include "deadlines.h"
 
 namespace ryeglade {
 
 void Log(const char* format, ...) {
+  // Guards against a reader of the log that stalls: the node must not wait for it. A pipe that is writable
+  // takes a whole line of this size.
+  static unsigned long long dropped = 0;
+  pollfd room{STDERR_FILENO, POLLOUT, 0};
+  if (poll(&room, 1, 0) != 1 || (room.revents & POLLOUT) == 0) {
+    ++dropped;
+    return;
+  }
   std::array<char, 512> line{};
   int n = std::snprintf(line.data(), line.size(), "%lld ", static_cast<long long>(Now() / 1000));
+  if (dropped > 0) {
+    n += std::snprintf(line.data() + n, line.size() - static_cast<std::size_t>(n), "(%llu lines dropped) ",
+                       std::exchange(dropped, 0));
+  }
   va_list args;
   va_start(args, format);
   n += std::vsnprintf(line.data() + n, line.size() - static_cast<std::size_t>(n), format, args);
   va_end(args);
   const auto end = std::min(static_cast<std::size_t>(n), line.size() - 2);
   line.at(end) = '\n';
-  std::fwrite(line.data(), 1, end + 1, stderr);
+  if (write(STDERR_FILENO, line.data(), end + 1) < 0) ++dropped;
 }
 
 }  // namespace ryeglade
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -43,17 +43,28 @@
   }
 
   void Run() {
-    const std::string listen = downstream_.Listen();
-    Log("listening addr=%s name=%s", listen.c_str(), core_.config->name.c_str());
-    discovery_.Known(core_.config->known);
     Watch(&term_, SIGTERM);
     Watch(&int_, SIGINT);
-    uv_run(&loop_, UV_RUN_DEFAULT);
-    uv_loop_close(&loop_);
+    std::string listen;
+    try {
+      listen = downstream_.Listen();
+    } catch (const ConfigError&) {
+      Stop();  // the loop's handles must be closed before it can go
+      End();
+      throw;
+    }
+    Log("listening addr=%s name=%s", listen.c_str(), core_.config->name.c_str());
+    discovery_.Known(core_.config->known);
+    End();
     Log("stopped");
   }
 
  private:
+  void End() {
+    uv_run(&loop_, UV_RUN_DEFAULT);
+    uv_loop_close(&loop_);
+  }
+
   static std::size_t Share(const Config& config) {
     return config.sockets - kOwnSockets - Discovery::kSockets;
   }
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -384,9 +384,11 @@
     const Response& response = c->response;
     ended.kept_tokens = NumberAfter(response.tail, "\"cached_tokens\"");
     std::string report = response.report;
-    const std::size_t at = response.tail.rfind(": X-Load-Report:");
-    if (at != std::string::npos)
-      report = response.tail.substr(at + 16, response.tail.find('\n', at) - at - 16);
+    // A comment line of the stream's own: the text of an answer holds no bare line break.
+    const std::size_t at = response.tail.rfind("\n: X-Load-Report:");
+    if (at != std::string::npos) {
+      report = response.tail.substr(at + 17, response.tail.find('\n', at + 1) - at - 17);
+    }
     if (r.stream == 0 && report.empty()) report = response.tail;
     ended.load = Load(report);
     const bool whole = response.complete && response.framed && response.keep && c->tcp->unsent() == 0;
