Satisfy clang-tidy in the network code

Four findings, all in src/net: an inefficient concatenation, two widenings, and a throwing move of Config, which now keeps the known list as text.

--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iterator>
+#include <nlohmann/json.hpp>
 
 #include "settings.h"
 #include "tcp.h"
@@ -24,7 +25,12 @@
 
 void Flatten(const std::string& path, const json& value, std::string& out) {
   if (value.is_object()) {
-    for (const auto& [key, item] : value.items()) Flatten(path.empty() ? key : path + "." + key, item, out);
+    for (const auto& [key, item] : value.items()) {
+      std::string at = path;
+      if (!at.empty()) at += ".";
+      at += key;
+      Flatten(at, item, out);
+    }
     return;
   }
   if (value.is_array() && !value.empty() && value.front().is_object()) {
@@ -80,7 +86,7 @@
       c.sockets = file.at("limits").value("sockets", c.sockets);
     }
     if (c.memory_mb < 16 || c.sockets < 64) throw ConfigError("limits are too small to run in");
-    if (file.contains("known")) c.known = file.at("known");
+    if (file.contains("known")) c.known = file.at("known").dump();
     if (!file.contains("settings")) throw ConfigError("settings are missing");
     const json& settings = file.at("settings");
     c.settings = canvasspread::wire::ReadSettings(FlattenSettings(settings));
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -3,7 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <nlohmann/json.hpp>
+#include <nlohmann/json_fwd.hpp>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -24,7 +24,7 @@
   std::uint64_t seed = 0;
   std::size_t memory_mb = 192;
   std::size_t sockets = 1024;
-  nlohmann::json known;  // in discovery's form; null: none
+  std::string known;  // JSON in discovery's form; empty: none
   canvasspread::Settings settings;
   canvasspread::Time idle_close = 5'000'000;
   std::vector<std::string> zones, kinds, load_fields;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -36,7 +36,8 @@
   return id;
 }
 
-void Discovery::Known(const json& list) {
+void Discovery::Known(const std::string& text) {
+  const json list = json::parse(text, nullptr, false);
   if (list.is_object() && Apply(list, ListScope::kCached)) return;
   core_->decisions->Post(ReplicaList{ListScope::kCached, 0, {}});
 }
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -20,7 +20,7 @@
   static constexpr std::size_t kSockets = 4;
   explicit Discovery(Core* core) : core_(core) {}
 
-  void Known(const nlohmann::json& list);  // as the node last had it; it may be old
+  void Known(const std::string& list);  // as the node last had it; it may be old
   void Watch(bool on);
   void Fetch();
   bool ready() const { return !hosts_.empty(); }
--- a/src/net/tcp.cpp
+++ b/src/net/tcp.cpp
@@ -8,8 +8,9 @@
 namespace {
 
 // libuv asks for room and hands it back filled within one call, so all sockets share one piece.
-std::array<char, 64 * 1024>& ReadRoom() {
-  static std::array<char, 64 * 1024> room;
+constexpr std::size_t kReadRoom = std::size_t{64} * 1024;
+std::array<char, kReadRoom>& ReadRoom() {
+  static std::array<char, kReadRoom> room;
   return room;
 }
 
