Time an attempt out after the module's last call, so that it answers and does not send again

Seen: with the guard's reply taken out, the time-out story got no answer. An attempt timed out 25 ms before the client's time was up (upstream.cpp, kTimeoutMargin), but the module still sends until 20 ms before (router.cpp, GiveUpAt), so it made one more hopeless attempt and the guard had to answer. Ruled out: the guard firing first; it is now 8 ms before, the time-out 15 ms before.

--- a/src/net/streams.cpp
+++ b/src/net/streams.cpp
@@ -10,7 +10,7 @@
 namespace ryeglade {
 namespace {
 
-constexpr Time kGuardMargin = 10'000;
+constexpr Time kGuardMargin = 8'000;
 constexpr Time kGuardRetryAfter = 1'000'000;
 
 }  // namespace
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -14,8 +14,11 @@
 namespace ryeglade {
 namespace {
 
-constexpr Time kTimeoutMargin = 25'000;  // an attempt ends this long before the client's time is up
-constexpr Time kSilence = 4'000'000;     // a stream silent for longer is broken; clients wait 5 s
+// An attempt ends this long before the client's time is up. Guards against a last, hopeless attempt: it is
+// after the module's own last call (20 ms before), so that a time-out makes the module answer and not send
+// again.
+constexpr Time kTimeoutMargin = 15'000;
+constexpr Time kSilence = 4'000'000;  // a stream silent for longer is broken; clients wait 5 s
 constexpr Time kProbeTimeout = 1'000'000;
 constexpr Time kIdleMargin = 500'000;  // idle connections go this long before the host closes them
 constexpr std::size_t kTail = 512;     // holds the usage line and the report at a stream's end
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -120,7 +120,8 @@
   const std::string head = client.Message();
   assert(Has(head, " 503 ") && Has(head, "Retry-After: "));
   assert(host.ToEnd().empty());
-  client.Send(Ask("2", "{}", "0"));  // no time at all
+  assert(!w.host.Called(50) && !Has(w.node.Log(), "guard-reply"));  // no hopeless attempt after it
+  client.Send(Ask("2", "{}", "0"));                                 // no time at all
   assert(Has(client.Message(), " 503 "));
 }
 
@@ -190,7 +191,10 @@
   Conn running = w.node.Client();
   host = Begin(w, running, "2");
   running.Close();
-  host.ToEnd();
+  for (int i = 0; !host.Readable(50); ++i) {  // it speaks on, so that no silence ends it
+    assert(i < 400);
+    host.Chunk("data: y\n\n");
+  }
 }
 
 // After SIGTERM: health says no, new requests are served and their connections closed, what runs is finished,
@@ -225,6 +229,15 @@
   host.Chunk("");
   assert(Has(running.Until("0\r\n\r\n"), "data: c"));
   assert(w.node.Exit() == 0);
+
+  One idle;  // with nothing to finish it serves on for a while all the same
+  idle.node.Term();
+  assert(idle.node.Exit() == 0);
+  const std::string log = idle.node.Log();
+  const auto at = [&](const char* word) {
+    return std::stoll(log.substr(log.rfind('\n', log.find(word)) + 1));
+  };
+  assert(at(" stopped") - at(" draining") >= 700);
 }
 
 Conn Watched(const Peer& discovery, const std::string& since) {
