Handle SIGHUP: re-read the file and move the watch to the discovery it names

Checked: the log ends without a line at the signal; Node::Run installed handlers for SIGTERM and SIGINT only (node.cpp, Watch(&term_..), Watch(&int_..)), so the default action ended the process. Ruled out: memory (0 MB of 80) and descriptors (56 of 768). Change: node.cpp catches SIGHUP, config.cpp reads the same file again (its discovery wins over the variable; a bad file is one log line), discovery.cpp asks the new address for the whole list, watches it from there and lets the old watch go once the new one has told something. What takes effect only at a start is logged. Test: story reloads; against the old program it fails (the node is gone at the first SIGHUP).

--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -89,7 +89,8 @@
     if (file.contains("known")) c.known = file.at("known").dump();
     if (!file.contains("settings")) throw ConfigError("settings are missing");
     const json& settings = file.at("settings");
-    c.settings = canvasspread::wire::ReadSettings(FlattenSettings(settings));
+    c.settings_text = FlattenSettings(settings);
+    c.settings = canvasspread::wire::ReadSettings(c.settings_text);
     c.zones = Names(settings, "localities");
     c.kinds = Names(settings, "shapes");
     if (settings.contains("stats")) c.load_fields = Names(settings.at("stats"), "fields");
@@ -102,19 +103,20 @@
   }
 }
 
-Config LoadConfig(const std::string& path) {
-  const char* named = path.empty() ? std::getenv("EDGE_CONFIG") : path.c_str();
-  if (named == nullptr || *named == '\0') throw ConfigError("EDGE_CONFIG is not set");
-  std::ifstream in(named, std::ios::binary);
-  if (!in) throw ConfigError(std::string("cannot read ") + named);
+namespace {
+
+Config LoadFile(const std::string& path, bool discovery_from_file) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) throw ConfigError("cannot read " + path);
   Config c = ReadConfig({std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()});
+  c.source = path;
   const auto told = [](const char* variable, std::string& value) {
     const char* text = std::getenv(variable);
     if (text != nullptr && *text != '\0') value = text;
   };
   told("EDGE_NAME", c.name);
   told("EDGE_LISTEN", c.listen);
-  told("EDGE_DISCOVERY", c.discovery);
+  if (!discovery_from_file || c.discovery.empty()) told("EDGE_DISCOVERY", c.discovery);
   sockaddr_storage address{};
   if (!ParseAddress(c.listen, &address)) throw ConfigError("listen is not an ip:port: '" + c.listen + "'");
   if (!ParseAddress(c.discovery, &address)) {
@@ -123,4 +125,26 @@
   return c;
 }
 
+}  // namespace
+
+Config LoadConfig(const std::string& path) {
+  const char* named = path.empty() ? std::getenv("EDGE_CONFIG") : path.c_str();
+  if (named == nullptr || *named == '\0') throw ConfigError("EDGE_CONFIG is not set");
+  return LoadFile(named, false);
+}
+
+Config ReloadConfig(const Config& old) { return LoadFile(old.source, true); }
+
+std::string NeedsRestart(const Config& old, const Config& now) {
+  std::string what;
+  const auto say = [&](bool differs, const char* word) {
+    if (differs) what += (what.empty() ? "" : ",") + std::string(word);
+  };
+  say(old.name != now.name, "name");
+  say(old.listen != now.listen, "listen");
+  say(old.memory_mb != now.memory_mb || old.sockets != now.sockets, "limits");
+  say(old.settings_text != now.settings_text, "settings");
+  return what;
+}
+
 }  // namespace ryeglade
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -18,13 +18,15 @@
 };
 
 struct Config {
+  std::string source;  // the file it was read from
   std::string name;
   std::string listen;
   std::string discovery;
   std::uint64_t seed = 0;
   std::size_t memory_mb = 192;
   std::size_t sockets = 1024;
-  std::string known;  // JSON in discovery's form; empty: none
+  std::string known;          // JSON in discovery's form; empty: none
+  std::string settings_text;  // flattened
   canvasspread::Settings settings;
   canvasspread::Time idle_close = 5'000'000;
   std::vector<std::string> zones, kinds, load_fields;
@@ -35,5 +37,10 @@
 
 Config ReadConfig(const std::string& text);  // the file's text; no environment
 Config LoadConfig(const std::string& path);  // "": the file that EDGE_CONFIG names; both throw ConfigError
+// The same file once more: its `discovery`, if it names one, now comes before the variable. Throws
+// ConfigError.
+Config ReloadConfig(const Config& old);
+// What differs and takes effect only at a start, in words; empty: nothing.
+std::string NeedsRestart(const Config& old, const Config& now);
 
 }  // namespace ryeglade
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -21,6 +21,7 @@
 constexpr Time kConnectWithin = 1'000'000;
 constexpr Time kAnswerWithin = 3'000'000;
 constexpr Time kLineWithin = 5'000'000;  // an idle watch says something every 2 s
+constexpr Time kMoveAgain = 250'000;     // a move that failed is tried again after this, up to twice that
 constexpr std::size_t kMostText = std::size_t{8} * 1024 * 1024;
 
 }  // namespace
@@ -45,7 +46,22 @@
 void Discovery::Watch(bool on) {
   Drop(watch_);
   watch_ = 0;
-  if (on) Start(true);
+  if (!on) return;
+  strange_ ? Move() : Start(true);
+}
+
+void Discovery::MoveTo(const std::string& address) {
+  if (address == address_) return;
+  address_ = address;
+  strange_ = true;
+  // The module that does not watch asks when it wants to.
+  if (watch_ != 0 || moving_ != 0) Move();
+}
+
+void Discovery::Move() {
+  core_->deadlines->Cancel(move_again_);
+  Drop(moving_);
+  Start(false, true);
 }
 
 void Discovery::Fetch() {
@@ -53,14 +69,16 @@
   core_->decisions->Post(ReplicaList{ListScope::kFailed, 0, {}});
 }
 
-void Discovery::Start(bool watch) {
+void Discovery::Start(bool watch, bool move) {
   const Handle handle = calls_.Add({});
   Call& c = *calls_.Get(handle);
   c.watch = watch;
+  c.move = move;
   if (watch) watch_ = handle;
+  if (move) moving_ = handle;
   c.tcp = Tcp::New(core_->loop, core_->buffers, this, handle);
   sockaddr_storage address{};
-  ParseAddress(core_->config->discovery, &address);
+  ParseAddress(address_, &address);
   Expect(handle, kConnectWithin);
   if (!c.tcp->Connect(address)) Failed(handle, "connect");
 }
@@ -75,8 +93,20 @@
   const Call* c = calls_.Get(handle);
   if (c == nullptr) return;
   Log("discovery-failed call=%s why=%s status=%d", c->watch ? "watch" : "fetch", why, c->status);
+  const bool move = c->move, old = handle == old_;
   if (handle == watch_) watch_ = 0;
+  if (old) old_ = 0;
+  if (handle == moving_) moving_ = 0;
   Drop(handle);
+  if (old) return;
+  if (move && watch_ != 0) {
+    // The old address still tells, so the module need not hear of it. Nodes are told to move together: not
+    // all at once again.
+    move_again_ = core_->deadlines->Set(Now() + kMoveAgain + Now() % kMoveAgain, [this] {
+      if (watch_ != 0 && strange_) Move();
+    });
+    return;
+  }
   core_->decisions->Post(ReplicaList{ListScope::kFailed, 0, {}});
 }
 
@@ -125,7 +155,7 @@
   if (c->watch) target += "?follow=1&since=" + std::to_string(generation_);
   Expect(handle, kAnswerWithin);
   c->tcp->Read();
-  if (!c->tcp->Write("GET " + target + " HTTP/1.1\r\nHost: " + core_->config->discovery + "\r\n\r\n")) {
+  if (!c->tcp->Write("GET " + target + " HTTP/1.1\r\nHost: " + address_ + "\r\n\r\n")) {
     Failed(handle, "write");
   }
 }
@@ -143,7 +173,8 @@
       const std::string_view line = std::string_view(text).substr(from, end - from);
       const bool empty = line.find_first_not_of(" \r\t") == std::string_view::npos;
       Expect(handle, kLineWithin);
-      if (!empty && !Apply(line, false)) return Failed(handle, "malformed");
+      if (!empty && !Apply(line, false, handle != old_)) return Failed(handle, "malformed");
+      if (handle == watch_) Drop(std::exchange(old_, 0));
       c = calls_.Get(handle);  // what was told may have led to another call
       if (c == nullptr) return;
       if (!empty && !std::exchange(c->answered, true))
@@ -153,19 +184,30 @@
     if (c->complete) Failed(handle, "ended");
   } else if (c->complete) {
     const std::string text = std::move(c->text);
-    if (!Apply(text, true)) return Failed(handle, "malformed");
+    const bool move = c->move;
+    if (!Apply(text, true, true)) return Failed(handle, "malformed");
     Drop(handle);
+    if (!move) return;
+    strange_ = false;
+    moving_ = 0;
+    Drop(old_);
+    old_ = watch_;  // goes once the new watch has told something
+    Start(true);
   }
 }
 
 void Discovery::OnEnded(Handle handle) { Failed(handle, "ended"); }
 
-bool Discovery::Apply(std::string_view text, bool single) {
+bool Discovery::Apply(std::string_view text, bool single, bool current) {
   const json list = json::parse(text, nullptr, false);
   if (!list.is_object()) return false;
   const auto reset = list.find("reset");
   const bool full = single || (reset != list.end() && reset->is_boolean() && reset->get<bool>());
-  return Apply(list, full ? ListScope::kFull : ListScope::kDelta);
+  // What an address that is being left still tells holds, but its versions mean nothing at the new one.
+  const std::uint64_t version = generation_;
+  if (!Apply(list, full ? ListScope::kFull : ListScope::kDelta)) return false;
+  if (!current) generation_ = version;
+  return true;
 }
 
 int Discovery::IndexOf(const std::vector<std::string>& names, const json& entry, const char* key) const {
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -18,11 +18,14 @@
 class Discovery : public TcpOwner {
  public:
   static constexpr std::size_t kSockets = 4;
-  explicit Discovery(Core* core) : core_(core) {}
+  explicit Discovery(Core* core) : core_(core), address_(core->config->discovery) {}
 
   void Known(const std::string& list);  // as the node last had it; it may be old
   void Watch(bool on);
   void Fetch();
+  // Another address from here on. The watch at the old one is kept until the new one has given a whole list:
+  // versions of the one say nothing about versions of the other.
+  void MoveTo(const std::string& address);
   bool ready() const { return !hosts_.empty(); }
   void Close();
 
@@ -38,6 +41,7 @@
   struct Call {
     Tcp* tcp = nullptr;
     bool watch = false;
+    bool move = false;  // for the whole list that a watch at a new address starts from
     http_parser parser{};
     bool answered = false;  // a line of a watch has come
     bool complete = false;
@@ -46,18 +50,23 @@
     DeadlineId deadline;
   };
 
-  void Start(bool watch);
+  void Start(bool watch, bool move = false);
+  void Move();
   void Expect(Handle call, Time within);
   void Failed(Handle call, const char* why);
   void Drop(Handle call);
-  bool Apply(std::string_view text, bool single);
+  bool Apply(std::string_view text, bool single, bool current);
   bool Apply(const nlohmann::json& list, canvasspread::ListScope scope);
   int IndexOf(const std::vector<std::string>& names, const nlohmann::json& entry, const char* key) const;
   static const http_parser_settings& Callbacks();
 
   Core* core_;
   Slots<Call> calls_;
-  Handle watch_ = 0;
+  std::string address_;
+  bool strange_ = false;  // no whole list from that address has come yet
+  Handle watch_ = 0, moving_ = 0;
+  Handle old_ = 0;  // the watch at the address that is being left
+  DeadlineId move_again_;
   std::uint64_t generation_ = 0;
   std::map<std::string, canvasspread::ReplicaId> ids_;
   std::map<canvasspread::ReplicaId, std::string> names_;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -45,6 +45,7 @@
   void Run() {
     Watch(&term_, SIGTERM);
     Watch(&int_, SIGINT);
+    Watch(&hup_, SIGHUP);
     std::string listen;
     try {
       listen = downstream_.Listen();
@@ -78,7 +79,25 @@
     uv_signal_init(&loop_, signal);
     signal->data = this;
     uv_signal_start(
-        signal, [](uv_signal_t* s, int) { static_cast<Node*>(s->data)->Drain(); }, number);
+        signal,
+        [](uv_signal_t* s, int which) {
+          Node* node = static_cast<Node*>(s->data);
+          which == SIGHUP ? node->Reload() : node->Drain();
+        },
+        number);
+  }
+
+  // A file that can't be read or is wrong must not take a node out of service: it goes on as it was.
+  void Reload() {
+    try {
+      const Config now = ReloadConfig(*core_.config);
+      const std::string later = NeedsRestart(*core_.config, now);
+      Log("reloaded discovery=%s", now.discovery.c_str());
+      if (!later.empty()) Log("reload-needs-restart what=%s", later.c_str());
+      discovery_.MoveTo(now.discovery);
+    } catch (const ConfigError& e) {
+      Log("reload-failed why=%s", e.what());
+    }
   }
 
   void Drain() {
@@ -109,6 +128,7 @@
     deadlines_.Close();
     uv_close(reinterpret_cast<uv_handle_t*>(&term_), nullptr);
     uv_close(reinterpret_cast<uv_handle_t*>(&int_), nullptr);
+    uv_close(reinterpret_cast<uv_handle_t*>(&hup_), nullptr);
   }
 
   uv_loop_t loop_{};
@@ -121,7 +141,7 @@
   Decisions decisions_;
   PlatformFront front_;
   Downstream downstream_;
-  uv_signal_t term_{}, int_{};
+  uv_signal_t term_{}, int_{}, hup_{};
   Time drain_began_ = 0;
 };
 
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -158,40 +158,41 @@
 class Node {
  public:
   Node(const std::string& program, const nlohmann::json& known, const std::string& discovery,
-       const std::string& mode = "push", int sockets = 1024, int memory_mb = 192) {
-    const nlohmann::json config = {
-        {"name", "n0"},
-        {"listen", "127.0.0.1:0"},
-        {"discovery", discovery},
-        {"seed", "8c1f30d27a5be964"},
-        {"limits", {{"cores", 1.0}, {"memory_mb", memory_mb}, {"sockets", sockets}}},
-        {"known", known},
-        {"settings",
-         {{"classes",
-           {{{"name", "docs"},
-             {"promise", 20000000},
-             {"deadline", 60000000},
-             {"stream", true},
-             {"effect", "free"}}}},
-          {"localities", {"z"}},
-          {"shapes", {"m"}},
-          {"membership-mode", mode},
-          {"stats", {{"how", "probe"}, {"fields", {"qps", "queue", "x0"}}}},
-          {"limits", {{"max-attempts", 3}, {"idle-close", 5000000}, {"connect-timeout", 2000000}}},
-          {"obligations", {{"ask-within", 500000}}}}}};
+       const std::string& mode = "push", int sockets = 1024, int memory_mb = 192,
+       const std::string& variable = "") {
+    config_ = {{"name", "n0"},
+               {"listen", "127.0.0.1:0"},
+               {"discovery", discovery},
+               {"seed", "8c1f30d27a5be964"},
+               {"limits", {{"cores", 1.0}, {"memory_mb", memory_mb}, {"sockets", sockets}}},
+               {"known", known},
+               {"settings",
+                {{"classes",
+                  {{{"name", "docs"},
+                    {"promise", 20000000},
+                    {"deadline", 60000000},
+                    {"stream", true},
+                    {"effect", "free"}}}},
+                 {"localities", {"z"}},
+                 {"shapes", {"m"}},
+                 {"membership-mode", mode},
+                 {"stats", {{"how", "probe"}, {"fields", {"qps", "queue", "x0"}}}},
+                 {"limits", {{"max-attempts", 3}, {"idle-close", 5000000}, {"connect-timeout", 2000000}}},
+                 {"obligations", {{"ask-within", 500000}}}}}};
     char name[] = "/tmp/ryeglade-story-XXXXXX";
     const int fd = mkstemp(name);
     assert(fd >= 0);
     close(fd);
     path_ = name;
-    std::ofstream(path_) << config.dump();
+    Write(config_.dump());
     log_ = path_ + ".log";
     pid_ = fork();
     assert(pid_ >= 0);
     if (pid_ == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL);  // a failed story leaves no node behind
-      for (const char* variable : {"EDGE_CONFIG", "EDGE_NAME", "EDGE_LISTEN", "EDGE_DISCOVERY"})
-        unsetenv(variable);
+      for (const char* name_of : {"EDGE_CONFIG", "EDGE_NAME", "EDGE_LISTEN", "EDGE_DISCOVERY"})
+        unsetenv(name_of);
+      if (!variable.empty()) setenv("EDGE_DISCOVERY", variable.c_str(), 1);
       if (std::freopen(log_.c_str(), "w", stderr) == nullptr) _exit(9);
       execl(program.c_str(), program.c_str(), "serve", "--config", path_.c_str(), nullptr);
       _exit(9);
@@ -222,6 +223,14 @@
     }
   }
   void Term() const { kill(pid_, SIGTERM); }
+  void Write(const std::string& text) const { std::ofstream(path_) << text; }
+  void Reload(const std::string& key,
+              const nlohmann::json& value) {  // the file with that changed, and SIGHUP
+    config_[key] = value;
+    Write(config_.dump());
+    kill(pid_, SIGHUP);
+  }
+  void Hup() const { kill(pid_, SIGHUP); }
   int Exit() {
     int status = 0;
     assert(waitpid(std::exchange(pid_, -1), &status, 0) > 0);
@@ -237,6 +246,7 @@
 
  private:
   std::string path_, log_;
+  nlohmann::json config_;
   pid_t pid_ = -1;
   int port_ = 0;
 };
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -286,6 +286,40 @@
   Serves(node, a, "5");
 }
 
+// SIGHUP: a bad file changes nothing; a good one moves the watch, whatever the variable says, from a whole
+// list, and the old watch is kept until the new one tells. SIGTERM still ends the node with 0.
+void Reloads() {
+  Peer before, after, a, b;
+  Node node(program, List(4, true, {Instance("s-a", a.at())}), kNobody, "ask", 1024, 192, before.at());
+  Conn watch = Watched(before, "4");
+  watch.Chunk(List(4, false, {}).dump() + "\n");
+  node.Write("{");
+  node.Hup();
+  node.WaitLog("reload-failed");
+  Serves(node, a, "1");
+  node.Reload("listen", "127.0.0.1:1");
+  node.WaitLog("reload-needs-restart what=listen");
+  node.Reload("discovery", after.at());
+  after.Accept().Close();  // not up yet: it is asked again, and the old one heard meanwhile
+  Conn fetch = after.Accept();
+  assert(Has(fetch.Message(), "GET /catalog/members "));
+  watch.Chunk(List(5, false, {Instance("s-b", b.at()), Instance("s-a", a.at(), "left")}).dump() + "\n");
+  node.WaitLog("generation=5");
+  Serves(node, b, "2");
+  assert(!watch.Readable(50));
+  const std::string list = List(2, true, {Instance("s-a", a.at())}).dump();
+  fetch.Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list);
+  Conn moved = Watched(after, "2");
+  assert(!watch.Readable(50));
+  moved.Chunk("\n");
+  watch.ToEnd();
+  Serves(node, a, "3");
+  moved.Close();
+  Watched(after, "2");  // and it is the new address that is asked again
+  node.Term();
+  assert(node.Exit() == 0);
+}
+
 // A client that does not read: the node stops reading the host, keeps little, and then hands on every byte.
 void Congested() {
   One w;
@@ -375,7 +409,8 @@
       {"calm", Calm},       {"broken", Broken},         {"silent", Silent},      {"elsewhere", Elsewhere},
       {"refused", Refused}, {"timeout", Timeout},       {"bad-input", BadInput}, {"duplicate", Duplicate},
       {"leaves", Leaves},   {"terminates", Terminates}, {"list", ListChanges},   {"congested", Congested},
-      {"crowded", Crowded}, {"scarce", Scarce},         {"trickle", Trickle},    {"parts", Parts}};
+      {"crowded", Crowded}, {"scarce", Scarce},         {"trickle", Trickle},    {"parts", Parts},
+      {"reloads", Reloads}};
   signal(SIGPIPE, SIG_IGN);
   assert(argc == 3 && all.contains(argv[2]));
   program = argv[1];
