Count room in unread prompt tokens, and rest a replica only for repeated failures

Ruled out: sockets (median 181 us to the first attempt), memory, the budget of attempts (10 throughout). At fault: LearnFailure rested a replica 1 s for its first error or reset and HasRoom kept it on trial until a whole stream was served; Choose counted a 16,000 token prompt like any other, gave a session a home only in the node's own zone and remembered nothing of what it had sent where. Change: weight of a request at a replica is what is still to be read there plus what of its prompt is not kept; single failures rest nothing unless the host can't be reached; after SIGTERM what has not begun is answered within 3.3 s. Tests: three in router_path_test.cpp fail on the old module; story terminates fails without EndBy.

--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -20,6 +20,7 @@
 
 constexpr std::size_t kOwnSockets = 24;  // the loop's, the listener, standard streams, some to spare
 constexpr Time kServeOn = 1'000'000;     // after SIGTERM, new requests keep coming for a while
+constexpr Time kAnswerBy = 3'300'000;    // SIGKILL comes no sooner than 3.7 s after SIGTERM
 constexpr Time kQuiet = 200'000;         // and the listener closes only once none has come for this long
 constexpr Time kDrainTick = 50'000;
 
@@ -105,6 +106,7 @@
     Log("draining streams=%zu clients=%zu", streams_.size(), downstream_.size());
     drain_began_ = Now();
     downstream_.Drain();
+    streams_.EndBy(drain_began_ + kAnswerBy);
     Tick();
   }
 
--- a/src/net/streams.cpp
+++ b/src/net/streams.cpp
@@ -17,23 +17,39 @@
 
 Handle Streams::Open(StreamRequest request, StreamSink* sink, Handle client) {
   const Time now = Now();
-  const Time patience = std::max<Time>(0, request.arrival.patience - (now - request.sent_at));
+  Time patience = std::max<Time>(0, request.arrival.patience - (now - request.sent_at));
+  if (end_by_ != 0) patience = std::min(patience, std::max<Time>(0, end_by_ - now));
   Stream stream{std::move(request), nullptr, 0, 0, 0, 0, false, {}};
   stream.sink = sink;
   stream.client = client;
-  stream.deadline = now + patience;
   const Handle handle = table_.Add(std::move(stream));
   Stream& s = *table_.Get(handle);
   s.request.arrival.id = handle;
   s.request.arrival.patience = patience;
-  // Guards against a stream that nothing answers: the module answers sooner, or the upstream request's own
-  // time-out makes it do so.
-  s.guard =
-      core_->deadlines->Set(s.deadline - Margin(patience, kGuardMargin), [this, handle] { Guard(handle); });
+  Bound(s, handle, now + patience);
   core_->decisions->Post(s.request.arrival);
   return handle;
 }
 
+// Guards against a stream that nothing answers: the module answers sooner, or the upstream request's own
+// time-out makes it do so.
+void Streams::Bound(Stream& s, Handle handle, Time deadline) {
+  const Time patience = std::max<Time>(0, deadline - Now());
+  s.deadline = deadline;
+  core_->deadlines->Cancel(s.guard);
+  s.guard =
+      core_->deadlines->Set(deadline - Margin(patience, kGuardMargin), [this, handle] { Guard(handle); });
+}
+
+// Guards against a budget that is longer than this process has to live: SIGKILL would find it unanswered.
+void Streams::EndBy(Time at) {
+  end_by_ = at;
+  for (const Handle handle : table_.All()) {
+    Stream& s = *table_.Get(handle);
+    if (!s.started && s.deadline > at) Bound(s, handle, at);
+  }
+}
+
 void Streams::Guard(Handle handle) {
   const Stream* s = table_.Get(handle);
   if (s == nullptr || s->started) return;
--- a/src/net/streams.h
+++ b/src/net/streams.h
@@ -59,6 +59,9 @@
   void Fail(Handle stream);
   void Move(Handle stream);
 
+  // Whatever has not begun by then gets its answer then, and so does whatever still comes.
+  void EndBy(Time at);
+
   Stream* Get(Handle stream) { return table_.Get(stream); }
   std::size_t size() const { return table_.size(); }
 
@@ -67,10 +70,12 @@
 
  private:
   void Guard(Handle stream);
+  void Bound(Stream& stream, Handle handle, Time deadline);
   StreamSink* End(Handle stream, Handle* client);  // frees the slot; null: it was free already
 
   Core* core_;
   Slots<Stream> table_;
+  Time end_by_ = 0;  // 0: no end in sight
 };
 
 }  // namespace ryeglade
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -64,10 +64,15 @@
 constexpr double kSlowBound = 2.0;        // one answer counts as at most e^2 times slower or faster
 
 // Choice of a replica.
-constexpr double kPrefixSaves = 0.7;  // share of a request's work that a kept prompt saves, at most
-constexpr double kSpread = 4.0;       // homes of a key: its share of traffic in replicas, times this
-constexpr double kCrossing = 6.0;     // a zone crossing weighs its fee times this, in requests
-constexpr double kShun = 0.5;         // how far a replica slower than its kind is taken to be fuller
+constexpr double kHomeKeeps =
+    0.7;  // chance that a home still keeps a beginning that this node did not see there
+constexpr double kSessionKeeps = 0.5;     // the same of a session's home and the whole prompt
+constexpr Time kKept = 30'000'000;        // what this node sent a replica is taken to be kept this long
+constexpr double kLeastRead = 300;        // tokens: what any request costs at least
+constexpr double kCrossingRead = 800;     // tokens that a zone crossing is worth
+constexpr std::size_t kMostKept = 16384;  // sessions and beginnings remembered
+constexpr double kSpread = 4.0;           // homes of a key: its share of traffic in replicas, times this
+constexpr double kShun = 0.5;             // how far a replica slower than its kind is taken to be fuller
 constexpr double kSpeedPower =
     1.7;  // a replica twice as slow gets this power of half the load: aims are absolute
 constexpr double kMostOccupied = 0.8;      // replicas are not taken to be fuller than this unless they say so
@@ -159,7 +164,8 @@
   Time cold_at = 0;
   double load = -1;  // last report: requests in flight there, or the share of it in use; < 0: none
   Time load_at = 0;
-  double cap = 0;  // this node's present cap, set by Recap
+  double cap = 0;      // this node's present cap, set by Recap
+  double reading = 0;  // tokens that it still has to read of this node's prompts, as far as is known
 };
 
 struct Attempt {
@@ -168,7 +174,8 @@
   int cell = 0;
   Time sent = 0;
   bool out = true;
-  bool ran = true;  // may have run, as far as is known
+  double unread = 0;  // tokens it had to read, until its first token comes
+  bool ran = true;    // may have run, as far as is known
 };
 
 struct HeldPlace {
@@ -245,6 +252,9 @@
   void Release();
   Replica* Choose(const Request& r);
   void Send(Request& r, Replica& to);
+  double Unread(const RequestArrived& i, const Replica& x, bool home, bool session_home, bool hot) const;
+  void Keep(const RequestArrived& i, ReplicaId at);
+  void DoneReading(Attempt& a);
   void Recap();
   bool HasRoom(const Replica& x) const;
 
@@ -330,6 +340,11 @@
   };
   std::unordered_map<std::uint64_t, KeyUse> keys_;
   Faded arrivals_slow_, arrivals_fast_;
+  struct Kept {
+    double tokens = 0;
+    Time at = 0;
+  };
+  std::unordered_map<std::uint64_t, Kept> kept_;  // by session or beginning, and replica
   std::vector<Faded> tenant_use_;
   Faded sends_;
 
@@ -344,7 +359,7 @@
   struct Option {
     Replica* replica;
     double prefix_rank, session_rank;
-    double saves;
+    bool home, session_home;
     double room;
   };
   std::vector<Option> options_;  // scratch
@@ -411,7 +426,7 @@
     } else if (entry.started_at > x->entry.started_at) {  // restarted: nothing known of it holds any more
       const int in_flight = x->in_flight;
       *x = Replica{};
-      x->in_flight = in_flight;
+      x->in_flight = in_flight;  // their outcomes are still to come
       x->cold_tokens = Random();
       x->cold_at = now_;
     }
@@ -544,6 +559,12 @@
   ++r.out;
   ++to.in_flight;
   ++in_flight_;
+  // What is kept now is what it had to read less; from here on the whole prompt is there.
+  const bool home = std::any_of(options_.begin(), options_.end(),
+                                [&](const Option& o) { return o.replica == &to && o.home; });
+  r.attempts.back().unread = Unread(r.info, to, home, false, false);
+  to.reading += r.attempts.back().unread;
+  Keep(r.info, to.entry.id);
   sends_.Add(now_, kTenantMemory, 1);
   if (Warmth(to) < 1) to.cold_tokens -= 1;
   Act(SendAttempt{r.info.id, to.entry.id, 0});
@@ -586,7 +607,7 @@
 
 bool Router::Impl::HasRoom(const Replica& x) const {
   if (x.cap <= 0 || x.no_room_until > now_) return false;
-  if (x.failures > 0 && x.in_flight > 0) return false;  // on trial: one request at a time
+  if (x.failures > 1 && x.in_flight > 0) return false;  // on trial: one request at a time
   if (Warmth(x) < 1 && x.cold_tokens < 1) return false;
   // A cap of half a request is a mean over all nodes' parts; each node's own swing about it evens out with
   // the others', and the sum of the caps bounds them together. Alone, a node sees the whole and keeps to it.
@@ -600,18 +621,13 @@
   const double nodes = settings_.nodes;
   const bool by_zone = ByZone();
   const RequestArrived& i = r.info;
-  const double prompt = std::max(1.0, i.prompt_tokens);
-  const double prefix_saves =
-      i.prefix != 0 ? kPrefixSaves * std::clamp(i.prefix_tokens / prompt, 0.0, 1.0) : 0;
-  const double session_saves = i.session != 0 ? kPrefixSaves : 0;
-
   options_.clear();
   double reported = 0, reports = 0;
   for (auto& x : fleet_) {
     if (x->cap <= 0) continue;
     const double speed = std::exp(-kSpeedPower * KindSlowness(x->entry.kind));
     options_.push_back({x.get(), i.prefix != 0 ? Rendezvous(i.prefix, x->entry.id, speed) : 0,
-                        i.session != 0 ? Rendezvous(i.session, x->entry.id, speed) : 0, 0, 0});
+                        i.session != 0 ? Rendezvous(i.session, x->entry.id, speed) : 0, false, false, 0});
     if (x->load >= 0) {
       const double trust = Fade(now_ - x->load_at, kReportMemory);
       reported += trust * Reported(*x);
@@ -626,6 +642,7 @@
   // Homes of the prefix, then of the session among them; in each zone, where crossing costs.
   const double prefix_share = i.prefix != 0 ? KeyShare(i.prefix, false) : 0;
   const double session_share = i.session != 0 ? KeyShare(i.session, true) : 0;
+  const bool hot = session_share * static_cast<double>(options_.size()) * kSpread > 1;
   auto by = [&](auto member) {
     return [member, by_zone](const Option& a, const Option& b) {
       if (by_zone && a.replica->entry.zone != b.replica->entry.zone) {
@@ -653,13 +670,13 @@
     };
     std::size_t set = i.prefix != 0 ? homes(prefix_share, to - from) : to - from;
     if (i.prefix != 0) {
-      for (std::size_t k = from; k < from + set; ++k) options_[k].saves = prefix_saves;
+      for (std::size_t k = from; k < from + set; ++k) options_[k].home = true;
       std::sort(options_.begin() + static_cast<std::ptrdiff_t>(from),
                 options_.begin() + static_cast<std::ptrdiff_t>(from + set), by(&Option::session_rank));
     }
     if (i.session != 0 && (!by_zone || options_[from].replica->entry.zone == settings_.zone)) {
       const std::size_t mine = homes(session_share, set);
-      for (std::size_t k = from; k < from + mine; ++k) options_[k].saves = session_saves;
+      for (std::size_t k = from; k < from + mine; ++k) options_[k].session_home = true;
     }
     from = to;
   }
@@ -681,9 +698,12 @@
     }
     const double own = x.in_flight / (nodes * x.cap);
     const double free = std::max(0.01, 1 - own - others * (nodes - 1) / nodes);
-    double weight = 1 - o.saves;
-    if (by_zone && x.entry.zone != settings_.zone) weight += kCrossing * settings_.fee_cross_zone;
-    if (tried) weight += 4;  // somewhere else, if there is anywhere else
+    // Room is counted in requests like this one, and what a request takes is what must be read before its
+    // first token comes: the prompts that came before it, and what of its own is not kept there.
+    double weight =
+        (x.reading + Unread(i, x, o.home, o.session_home, hot)) * std::exp(Slowness(x)) + kLeastRead;
+    if (by_zone && x.entry.zone != settings_.zone) weight += kCrossingRead * settings_.fee_cross_zone / 0.08;
+    if (tried) weight *= 5;  // somewhere else, if there is anywhere else
     o.room = free / weight;
     best = std::max(best, o.room);
   }
@@ -703,6 +723,37 @@
   return chosen;
 }
 
+// How much of the prompt a replica has to read: what it keeps need not be read again.
+double Router::Impl::Unread(const RequestArrived& i, const Replica& x, bool home, bool session_home,
+                            bool hot) const {
+  const double prompt = std::max(1.0, i.prompt_tokens);
+  const auto kept = [&](std::uint64_t key) {
+    if (key == 0) return 0.0;
+    const auto it = kept_.find(key ^ Mix(x.entry.id));
+    if (it == kept_.end() || now_ - it->second.at > kKept) return 0.0;
+    return it->second.at < x.entry.started_at ? 0.0 : it->second.tokens;  // it has started afresh since
+  };
+  // A session that is hot has several homes, and each is as good.
+  const double session = hot ? 0 : kept(i.session);
+  double found = std::max(session, std::min(kept(i.prefix), i.prefix_tokens));
+  if (home) found = std::max(found, kHomeKeeps * i.prefix_tokens);
+  if (session_home) found = std::max(found, kSessionKeeps * prompt);
+  return std::max(0.0, prompt - found);
+}
+
+void Router::Impl::Keep(const RequestArrived& i, ReplicaId at) {
+  if (kept_.size() > kMostKept)
+    std::erase_if(kept_, [&](const auto& k) { return now_ - k.second.at > kKept; });
+  if (kept_.size() > kMostKept) kept_.clear();
+  if (i.session != 0) kept_[i.session ^ Mix(at)] = {i.prompt_tokens, now_};
+  if (i.prefix != 0) kept_[i.prefix ^ Mix(at)] = {i.prefix_tokens, now_};
+}
+
+void Router::Impl::DoneReading(Attempt& a) {
+  if (Replica* x = Get(a.replica)) x->reading = std::max(0.0, x->reading - a.unread);
+  a.unread = 0;
+}
+
 // ---- Estimates ----
 
 std::uint32_t Router::Impl::BucketKey(const RequestArrived& i, int level) const {
@@ -813,13 +864,13 @@
     LearnTime(true, false);
     return;
   }
-  // An error must never make a replica look fast or roomy: it counts as slow, and the replica rests.
+  // An error must never make a replica look fast or roomy: it counts as slow.
   LearnSlow(x, kFailureSlow);
   ++x.failures;
-  if (o == Outcome::kTimeout) {
-    LearnTime(true, false);
-    if (x.failures < 2) return;  // one slow answer proves nothing
-  }
+  if (o == Outcome::kTimeout) LearnTime(true, false);
+  // One failure proves nothing: where now and then a stream comes spoilt from any replica, resting each for
+  // it takes more of the fleet away than the failures do. Only what can't be reached rests at once.
+  if (x.failures < 2 && o != Outcome::kConnectFailed) return;
   const double rest = static_cast<double>(kBlockFirst) * std::pow(2.0, std::min(x.failures - 1, 6));
   x.blocked_until =
       now_ + static_cast<Time>(std::min(rest, static_cast<double>(kBlockMost)) * (0.75 + 0.5 * Random()));
@@ -874,6 +925,7 @@
   const std::size_t n = static_cast<std::size_t>(e.attempt);
   if (e.attempt < 0 || n >= r.attempts.size() || !r.attempts[n].out || r.started || r.done) return;
   r.started = true;
+  DoneReading(r.attempts[n]);
   r.first_token = e.elapsed;
   const double aim = static_cast<double>(r.aim_at - r.arrived);
   const double t = static_cast<double>(e.elapsed);
@@ -881,6 +933,7 @@
   LearnTime(t > kLateAt * aim, t < 0.5 * kLateAt * aim);
   const std::uint32_t bucket = BucketKey(r.info, 2);
   if (Replica* x = Get(r.attempts[n].replica)) {
+    x->failures = 0;
     const auto seen = first_token_.find(bucket);
     if (seen != first_token_.end() && seen->second.n > kParentWeight) {
       LearnSlow(*x, std::log(std::max(1.0, t) / std::max(1.0, seen->second.mean)));
@@ -914,6 +967,7 @@
   if (e.attempt < 0 || n >= r.attempts.size() || !r.attempts[n].out) return;
   Attempt& a = r.attempts[n];
   a.out = false;
+  DoneReading(a);
   a.ran = !ProvesNotRun(e.outcome);
   --r.out;
   --in_flight_;
--- a/tests/router_path_test.cpp
+++ b/tests/router_path_test.cpp
@@ -240,6 +240,53 @@
   EXPECT_GE(late.size(), 3u);
 }
 
+// A long prompt is read before those behind it: its replica has less room than its one request tells.
+TEST(Choice, APromptStillBeingReadTakesRoom) {
+  Node n(BasicSettings());
+  n.List({Ready(1), Ready(2)});
+  const RequestId large = n.Ask(6 * kSecond, 16000);
+  const ReplicaId there = n.Sends(large)[0].replica;
+  for (int i = 0; i < 4; ++i) EXPECT_NE(n.Sends(n.Ask(6 * kSecond, 500))[0].replica, there);
+  n.Give(AnswerStarted{large, 0, there, 900 * kMs});  // read: what runs is light
+  EXPECT_EQ(n.Sends(n.Ask(6 * kSecond, 500))[0].replica, there);
+}
+
+// A session's next turn goes where the node knows its prompt to be kept, until that replica starts afresh.
+TEST(Choice, ASessionStaysWhereItsPromptIsKept) {
+  Node n(BasicSettings());
+  n.List({Ready(1)});
+  const auto turn = [&](std::uint64_t session) {
+    const RequestId id = n.Ask(6 * kSecond, 8000, session);
+    n.Serve(id, 0, 300 * kMs);
+    n.Pass(kSecond);
+    return n.Sends(id)[0].replica;
+  };
+  for (std::uint64_t session = 1001; session < 1009; ++session) turn(session);
+  n.List(Fleet(8));  // whoever would now be its home
+  for (std::uint64_t session = 1001; session < 1009; ++session) EXPECT_EQ(turn(session), 1u);
+  auto fleet = Fleet(8);
+  fleet[1].started_at = n.now - 1;
+  n.List(fleet);
+  int away = 0;
+  for (std::uint64_t session = 1001; session < 1009; ++session) away += turn(session) == 1 ? 0 : 1;
+  EXPECT_GE(away, 4);
+}
+
+// Where a stream comes spoilt now and then, from any replica, resting each for it would take the fleet away.
+TEST(Health, ASingleFailureRestsNothingAndTwoInARowDo) {
+  Settings s = BasicSettings();
+  s.max_attempts = 1;
+  Node n(s);
+  n.List({Ready(1)});
+  const RequestId running = n.Ask();
+  n.End(n.Ask(), 0, Outcome::kReset, false, 20 * kMs);
+  const RequestId next = n.Ask();
+  ASSERT_EQ(n.Sends(next).size(), 1u);
+  n.End(next, 0, Outcome::kError, false, 20 * kMs);
+  EXPECT_TRUE(n.Sends(n.Ask()).empty());  // quick errors draw no more
+  n.Serve(running);
+}
+
 TEST(Choice, StaysInItsZoneWhereCrossingCosts) {
   Settings s = BasicSettings();
   s.zones = 2;
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -230,6 +230,14 @@
   assert(Has(running.Until("0\r\n\r\n"), "data: c"));
   assert(w.node.Exit() == 0);
 
+  One slow;  // what has not begun is answered before SIGKILL may come, however long its client would wait
+  Conn patient = slow.node.Client();
+  patient.Send(Ask("3", "{}", "90.000"));
+  slow.host.Accept().Message();
+  slow.node.Term();
+  assert(Has(patient.Message(), " 503 "));
+  assert(slow.node.Exit() == 0);
+
   One idle;  // with nothing to finish it serves on for a while all the same
   idle.node.Term();
   assert(idle.node.Exit() == 0);
