Bound silent clients, and take only whole events in chunks that fit from a host

Ruled out: memory (1 of 80 MB) and CPU (0.06 s in the worst second). At fault: downstream.cpp kReadWithin 10 s from the first byte and none before it, MakeRoom blind to half requests; upstream.cpp OnRead took any first byte of a body for the start of a stream, kept headers of 1xx answers, and reused a parked connection unread; Load believed nan and negative figures; ids_ and names_ never shrank.

--- a/src/net/buffers.cpp
+++ b/src/net/buffers.cpp
@@ -17,7 +17,9 @@
 
 void Buffers::Return(char* buffer) {
   --taken_;
-  free_.emplace_back(buffer);
+  // Guards against keeping for good what one burst took.
+  std::unique_ptr<char[]> owned(buffer);
+  if (free_.size() < kMostFree) free_.push_back(std::move(owned));
 }
 
 Chain::Chain(Chain&& other) noexcept
--- a/src/net/buffers.h
+++ b/src/net/buffers.h
@@ -12,6 +12,7 @@
 class Buffers {
  public:
   static constexpr std::size_t kSize = std::size_t{16} * 1024;
+  static constexpr std::size_t kMostFree = 128;  // kept for the next use
   explicit Buffers(std::size_t most_bytes) : most_(most_bytes / kSize) {}
 
   char* Take();  // nullptr: the pool is spent
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -242,7 +242,6 @@
     };
     const std::string lifecycle = text("lifecycle");
     ReplicaEntry e;
-    e.id = IdOf(name->get<std::string>());
     // A state that is not known here gets nothing new.
     e.phase = lifecycle == "active" ? Phase::kReady : lifecycle == "left" ? Phase::kGone : Phase::kDraining;
     e.weight = number("weight", 1.0);
@@ -250,15 +249,16 @@
     e.kind = IndexOf(core_->config->kinds, entry, "machineType");
     e.cell = static_cast<int>(std::clamp(number("cell", 0), -1e9, 1e9));
     e.started_at = static_cast<Time>(std::clamp(number("startedAtMs", 0), 0.0, 1e15)) * 1000;
+    sockaddr_storage address{};
+    const std::string host_port = text("hostPort");
+    if (e.phase != Phase::kGone && !ParseAddress(host_port, &address)) {
+      Log("discovery-entry-skipped why=address name=%s", name->get_ref<const std::string&>().c_str());
+      continue;
+    }
+    e.id = IdOf(name->get<std::string>());
     if (e.phase == Phase::kGone) {
       left.push_back(e.id);
     } else {
-      sockaddr_storage address{};
-      const std::string host_port = text("hostPort");
-      if (!ParseAddress(host_port, &address)) {
-        Log("discovery-entry-skipped why=address name=%s", name->get_ref<const std::string&>().c_str());
-        continue;
-      }
       core_->upstream->SetHost(e.id, host_port);
       listed[e.id] = true;
     }
@@ -283,7 +283,13 @@
   }
   core_->decisions->Post(std::move(told));
   for (const ReplicaId id : left) {
-    if (!hosts_.contains(id)) core_->upstream->RemoveHost(id);
+    if (hosts_.contains(id)) continue;
+    core_->upstream->RemoveHost(id);
+    // Guards against growth: ids are always new, and one that comes back gets the same number.
+    const auto known = names_.find(id);
+    if (known == names_.end()) continue;
+    ids_.erase(known->second);
+    names_.erase(known);
   }
   return true;
 }
--- a/src/net/downstream.cpp
+++ b/src/net/downstream.cpp
@@ -14,7 +14,9 @@
 constexpr std::size_t kMostAhead = std::size_t{16} * 1024;
 constexpr std::size_t kCongested =
     std::size_t{128} * 1024;               // unsent bytes at which the source is asked to stop
-constexpr Time kReadWithin = 10'000'000;   // a whole request, from its first byte
+constexpr Time kReadWithin = 2'700'000;    // a whole request, from its first byte or the connection's start
+constexpr Time kKeepFor = 60'000'000;      // a connection that was used and says nothing more
+constexpr Time kSilentFrom = 500'000;      // without a whole request for this long, it may have to make room
 constexpr Time kDrainWithin = 10'000'000;  // a congested client that takes nothing for this long is gone
 constexpr Time kLinger = 1'000'000;        // for a last answer to arrive before the socket goes
 constexpr Time kIdleFrom = 200'000;        // what a request may take to follow its connection
@@ -93,21 +95,46 @@
   return c.state == State::kIdle && Now() - c.idle_since >= kIdleFrom;
 }
 
-// Guards against running out of descriptors: the client that has been idle longest loses its connection,
-// which it may at any time between requests.
+// Guards against running out of descriptors. First goes who has had a last answer and lingers, then who has
+// been idle longest after an answer, which it may at any time between requests; then who has sent no whole
+// request for long: usual clients send theirs as soon as they are connected.
 bool Downstream::MakeRoom() {
   if (clients_.size() < most_) return true;
-  Handle oldest = 0;
-  Time since = 0;
+  const auto place = [](const Client& c) -> std::pair<int, Time> {
+    if (c.state == State::kLingering && c.tcp->unsent() == 0) return {0, c.idle_since};
+    if (c.used && Idle(c)) return {1, c.idle_since};
+    const bool silent = c.state == State::kReading || (!c.used && c.state == State::kIdle);
+    if (silent && Now() - c.idle_since >= kSilentFrom) return {2, c.idle_since};
+    return {3, 0};
+  };
+  Handle first = 0;
+  std::pair<int, Time> best{3, 0};
   for (const Handle handle : clients_.All()) {
-    const Client& c = *clients_.Get(handle);
-    if (Idle(c) && (oldest == 0 || c.idle_since < since)) {
-      oldest = handle;
-      since = c.idle_since;
+    const auto at = place(*clients_.Get(handle));
+    if (at < best) {
+      first = handle;
+      best = at;
     }
   }
-  if (oldest != 0) Drop(oldest);
-  return oldest != 0;
+  if (first != 0) Drop(first);
+  return first != 0;
+}
+
+// Guards against a connection that holds a socket and says nothing, or not all: it gets an error if it has
+// begun to speak, and is closed. Used connections have longer, as their clients may come back.
+void Downstream::Expire(Handle handle, Time at) {
+  Client& c = *clients_.Get(handle);
+  core_->deadlines->Cancel(c.deadline);
+  c.deadline = core_->deadlines->Set(at, [this, handle] {
+    Client* slow = clients_.Get(handle);
+    if (slow == nullptr) return;
+    if (slow->state == State::kIdle) return Drop(handle);
+    if (slow->state != State::kReading) return;
+    slow->state = State::kAnswering;
+    slow->keep_alive = false;
+    Log("local-reply status=408 why=slow-sender");
+    Reply(handle, 408, "", "");
+  });
 }
 
 void Downstream::Accept() {
@@ -133,6 +160,7 @@
   http_parser_init(&c.parser, HTTP_REQUEST);
   c.idle_since = last_arrival_ = Now();
   if (!c.tcp->Accept(reinterpret_cast<uv_stream_t*>(&listener_))) return Drop(handle);
+  Expire(handle, Now() + kReadWithin);
   c.tcp->Read();
 }
 
@@ -246,15 +274,8 @@
     if (c->state == State::kIdle) {
       c->state = State::kReading;
       c->request.first_byte = last_arrival_ = Now();
-      // Guards against a sender that trickles: it holds a socket and buffers, and is owed no answer yet.
-      c->deadline = core_->deadlines->Set(c->request.first_byte + kReadWithin, [this, handle] {
-        Client* slow = clients_.Get(handle);
-        if (slow == nullptr || slow->state != State::kReading) return;
-        slow->state = State::kAnswering;
-        slow->keep_alive = false;
-        Log("local-reply status=408 why=slow-sender");
-        Reply(handle, 408, "", "");
-      });
+      // The first request has its time from the connection's start on.
+      if (c->used) Expire(handle, c->request.first_byte + kReadWithin);
     }
     c->parser.data = c;
     const std::string bytes = std::move(c->ahead);
@@ -266,8 +287,9 @@
       c->ahead = bytes.substr(std::min(parsed, bytes.size()));
       core_->deadlines->Cancel(c->deadline);
       c->state = State::kAnswering;
+      c->used = true;
       last_arrival_ = Now();
-      if (c->surplus) {
+      if (c->surplus && clients_.size() > most_ && !MakeRoom()) {
         Log("local-reply status=503 why=sockets clients=%zu", clients_.size());
         c->keep_alive = false;
         Reply(handle, 503, "Retry-After: 1\r\n", "");
@@ -353,6 +375,10 @@
 
 void Downstream::Abort(Handle handle) { Drop(handle); }
 
+void Downstream::CloseAfter(Handle handle) {
+  if (Client* c = clients_.Get(handle)) c->keep_alive = false;
+}
+
 void Downstream::Linger(Handle handle) {
   Client& c = *clients_.Get(handle);
   core_->deadlines->Cancel(c.deadline);
@@ -378,6 +404,7 @@
   c.value_next = c.complete = false;
   c.reject = 0;
   http_parser_init(&c.parser, HTTP_REQUEST);
+  Expire(handle, c.idle_since + kKeepFor);
   c.tcp->Read();
   if (!c.ahead.empty()) Feed(handle);
 }
--- a/src/net/downstream.h
+++ b/src/net/downstream.h
@@ -44,7 +44,8 @@
   void BeginChunks(Handle connection, const std::string& headers);
   void Chunk(Handle connection, std::string_view bytes);
   void EndChunks(Handle connection);
-  void Abort(Handle connection);  // ends the connection without the last chunk
+  void CloseAfter(Handle connection);  // no further request is taken on it
+  void Abort(Handle connection);       // ends the connection without the last chunk
 
   void Drain();      // from here on every answer closes its connection
   void CloseIdle();  // connections on which nothing is owed and nothing has begun
@@ -70,10 +71,10 @@
     int reject = 0;  // the status that the parser's callbacks ended the request with
     bool complete = false;
     bool keep_alive = true;
+    bool used = false;     // a whole request has come
     bool surplus = false;  // over the budget of sockets: gets an answer, no service
     bool congested = false;
     bool feeding = false;
-    bool chunking = false;
     std::string ahead;  // read behind the request at hand
     Time idle_since = 0;
     DeadlineId deadline;
@@ -83,6 +84,7 @@
   void AcceptOne();
   bool MakeRoom();
   void Feed(Handle connection);
+  void Expire(Handle connection, Time at);
   static bool Idle(const Client& client);
   void Done(Handle connection);
   void Linger(Handle connection);
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -13,10 +13,23 @@
 
 namespace ryeglade {
 
+constexpr int kMostPerSecond = 300;
+
 void Log(const char* format, ...) {
   // Guards against a reader of the log that stalls: the node must not wait for it. A pipe that is writable
   // takes a whole line of this size.
   static unsigned long long dropped = 0;
+  // Guards against clients who make the node write more than it serves.
+  static Time second = 0;
+  static int lines = 0;
+  if (Now() / 1'000'000 != second) {
+    second = Now() / 1'000'000;
+    lines = 0;
+  }
+  if (++lines > kMostPerSecond) {
+    ++dropped;
+    return;
+  }
   pollfd room{STDERR_FILENO, POLLOUT, 0};
   if (poll(&room, 1, 0) != 1 || (room.revents & POLLOUT) == 0) {
     ++dropped;
--- a/src/net/platform_front.cpp
+++ b/src/net/platform_front.cpp
@@ -1,5 +1,7 @@
 #include "platform_front.h"
 
+#include <strings.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -49,7 +51,11 @@
   if (!request.http11) return Local(connection, 505, "version");
 
   StreamRequest stream{{}, {}, {}, {}, Chain(core_->buffers), {}, 0};
-  if (const char* wrong = Read(request, stream)) return Local(connection, 400, wrong);
+  if (const char* wrong = Read(request, stream)) {
+    // Guards against reading on behind a request of which it is not sure what it says.
+    if (std::string_view(wrong) != "X-Call-Class") downstream_->CloseAfter(connection);
+    return Local(connection, 400, wrong);
+  }
   // Two upstream requests under one id would be two attempts out at once.
   if (ids_.contains(stream.call_id)) return Local(connection, 409, "open-id");
   if (core_->buffers->Scarce()) return Local(connection, 503, "memory", "Retry-After: 1\r\n");
@@ -71,6 +77,14 @@
     const std::string* value = request.Header(name);
     return value == nullptr ? std::string_view() : std::string_view(*value);
   };
+  // Guards against two readings of one request: the host might take the other of two.
+  for (std::size_t n = 0; n < request.headers.size(); ++n) {
+    const std::string& name = request.headers[n].first;
+    if (name.size() < 2 || strncasecmp(name.c_str(), "x-", 2) != 0) continue;
+    for (std::size_t k = 0; k < n; ++k) {
+      if (strcasecmp(request.headers[k].first.c_str(), name.c_str()) == 0) return "repeated";
+    }
+  }
   std::uint64_t id = 0;
   if (!Hex(text("x-call-id"), &id)) return "X-Call-Id";
   stream.call_id = text("x-call-id");
--- a/src/net/tcp.cpp
+++ b/src/net/tcp.cpp
@@ -1,6 +1,9 @@
 #include "tcp.h"
 
+#include <sys/socket.h>
+
 #include <array>
+#include <cerrno>
 #include <charconv>
 #include <vector>
 
@@ -115,6 +118,13 @@
                   }) == 0;
 }
 
+bool Tcp::Quiet() const {
+  uv_os_fd_t fd = -1;
+  char byte = 0;
+  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) != 0) return false;
+  return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void Tcp::EndWriting() {
   if (!closing_) uv_shutdown(&shutdown_, stream(), nullptr);
 }
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -3,8 +3,11 @@
 #include <strings.h>
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
+#include <iterator>
 #include <utility>
 
 #include "decisions.h"
@@ -20,8 +23,11 @@
 constexpr Time kTimeoutMargin = 15'000;
 constexpr Time kSilence = 4'000'000;  // a stream silent for longer is broken; clients wait 5 s
 constexpr Time kProbeTimeout = 1'000'000;
-constexpr Time kIdleMargin = 500'000;  // idle connections go this long before the host closes them
-constexpr std::size_t kTail = 512;     // holds the usage line and the report at a stream's end
+constexpr Time kIdleMargin = 500'000;    // idle connections go this long before the host closes them
+constexpr Time kOpenWithin = 1'000'000;  // from an answer's first byte to its first whole event
+constexpr Time kRest = 10'000;  // a parked connection is not used again before it has been quiet this long
+constexpr std::uint64_t kMostChunk = std::uint64_t{256} * 1024;
+constexpr std::size_t kTail = 512;  // holds the usage line and the report at a stream's end
 
 const char* Name(Outcome o) {
   switch (o) {
@@ -57,6 +63,15 @@
   return number;
 }
 
+// The parser as Debian builds it passes over whatever stands where a chunk's line end should be, so that a
+// chunk that is longer than it says would go on as another. False: something else stands there.
+bool TakeLineEnd(std::string_view& wanted, const char* at, const char* end) {
+  const std::size_t n = std::min(wanted.size(), static_cast<std::size_t>(end - at));
+  if (wanted.substr(0, n) != std::string_view(at, n)) return false;
+  wanted.remove_prefix(n);
+  return true;
+}
+
 }  // namespace
 
 // ---- Hosts and connections ----
@@ -132,6 +147,7 @@
   c.request = 0;
   c.written = false;
   c.response = {};
+  c.first_byte = 0;
   c.tcp->Read();  // it may have been paused for its last client
   c.idle_since = Now();
   const Time most = core_->config->idle_close;
@@ -186,17 +202,12 @@
   if (Stream* s = core_->streams->Get(r.stream)) s->upstream_request = handle;
   const auto host = hosts_.find(r.replica);
   if (host == hosts_.end()) return Finish(handle, Outcome::kConnectFailed);
-  r.deadline = core_->deadlines->Set(deadline, [this, handle] {
-    const Request* late = requests_.Get(handle);
-    if (late == nullptr) return;
-    const Connection* c = connections_.Get(late->connection);
-    Finish(handle, c != nullptr && c->written ? Outcome::kTimeout : Outcome::kConnectFailed);
-  });
-  if (!host->second.idle.empty()) {
-    r.connection = host->second.idle.back();
-    host->second.idle.pop_back();
-    connections_.Get(r.connection)->request = handle;
-    return Write(r.connection);
+  r.until = deadline;
+  Expect(handle, deadline);
+  if (const Handle idle = TakeIdle(host->second); idle != 0) {
+    r.connection = idle;
+    connections_.Get(idle)->request = handle;
+    return Write(idle);
   }
   const bool room = MakeRoom();
   r.connection = Connect(r.replica, handle);
@@ -205,6 +216,35 @@
   Finish(handle, room ? Outcome::kConnectFailed : Outcome::kNotSent);
 }
 
+void Upstream::Expect(Handle handle, Time by) {
+  Request& r = *requests_.Get(handle);
+  core_->deadlines->Cancel(r.deadline);
+  r.deadline = core_->deadlines->Set(by, [this, handle] {
+    const Request* late = requests_.Get(handle);
+    if (late == nullptr) return;
+    const Connection* c = connections_.Get(late->connection);
+    const bool written = c != nullptr && c->written;
+    const bool begun = written && c->first_byte != 0;
+    Finish(handle, begun ? Outcome::kReset : written ? Outcome::kTimeout : Outcome::kConnectFailed);
+  });
+}
+
+// Guards against taking for this request's answer a second answer that came right behind the last one: the
+// connection must have been quiet for a moment, and nothing, not even its end, may wait to be read.
+Handle Upstream::TakeIdle(Host& host) {
+  for (std::size_t n = host.idle.size(); n-- > 0;) {
+    const Handle handle = host.idle[n];
+    const Connection* c = connections_.Get(handle);
+    if (c == nullptr || Now() - c->idle_since < kRest) continue;
+    if (c->tcp->Quiet()) {
+      host.idle.erase(host.idle.begin() + static_cast<std::ptrdiff_t>(n));
+      return handle;
+    }
+    Drop(handle);  // it takes itself out of the list
+  }
+  return 0;
+}
+
 void Upstream::Write(Handle handle) {
   Connection& c = *connections_.Get(handle);
   core_->deadlines->Cancel(c.deadline);
@@ -260,9 +300,17 @@
   static const http_parser_settings settings = [] {
     http_parser_settings s;
     http_parser_settings_init(&s);
+    // Guards against what a 1xx answer ahead said: each answer has headers of its own.
+    s.on_message_begin = [](http_parser* p) {
+      Response& r = *static_cast<Response*>(p->data);
+      const char* end = r.read_end;
+      r = {};
+      r.read_end = end;
+      return 0;
+    };
     s.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
       Response& r = *static_cast<Response*>(p->data);
-      if (!r.value.empty()) {
+      if (std::exchange(r.value_next, false)) {
         r.field.clear();
         r.value.clear();
       }
@@ -271,6 +319,7 @@
     };
     s.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
       Response& r = *static_cast<Response*>(p->data);
+      r.value_next = true;
       r.value.append(at, n);
       if (strcasecmp(r.field.c_str(), "x-rejected") == 0) r.rejected = r.value == "1";
       if (strcasecmp(r.field.c_str(), "x-load-report") == 0) r.report = r.value;
@@ -281,12 +330,22 @@
       r.status = p->status_code;
       r.framed = (p->flags & F_CHUNKED) != 0 || (p->flags & F_CONTENTLENGTH) != 0;
       r.keep = http_should_keep_alive(p) != 0;
-      return 0;
+      return r.status == 101 ? -1 : 0;  // nobody asked for another protocol
+    };
+    // Guards against a chunk that is said to have gigabytes: it would pass as events for ever.
+    s.on_chunk_header = [](http_parser* p) {
+      Response& r = *static_cast<Response*>(p->data);
+      r.chunk_left = p->content_length;
+      return r.chunk_left > kMostChunk ? 1 : 0;
     };
     s.on_body = [](http_parser* p, const char* at, std::size_t n) {
       Response& r = *static_cast<Response*>(p->data);
       r.pieces.emplace_back(at, n);
-      return 0;
+      if ((p->flags & F_CHUNKED) == 0) return 0;
+      r.chunk_left -= std::min<std::uint64_t>(n, r.chunk_left);
+      if (r.chunk_left > 0) return 0;
+      r.line_end = "\r\n";
+      return TakeLineEnd(r.line_end, at + n, r.read_end) ? 0 : 1;
     };
     s.on_message_complete = [](http_parser* p) {
       Response& r = *static_cast<Response*>(p->data);
@@ -305,35 +364,74 @@
   if (c->request == 0) return Drop(handle);  // an answer to nothing
   const Handle request = c->request;
   c->response.pieces.clear();
+  c->response.read_end = bytes.data() + bytes.size();
+  if (!TakeLineEnd(c->response.line_end, bytes.data(), c->response.read_end)) {
+    return Finish(request, Outcome::kReset);
+  }
   const std::size_t parsed = http_parser_execute(&c->parser, &Callbacks(), bytes.data(), bytes.size());
   const http_errno error = HTTP_PARSER_ERRNO(&c->parser);
   const bool good = error == HPE_OK || (error == HPE_PAUSED && c->response.complete);
   if (parsed < bytes.size()) c->response.keep = false;
   // Only now, outside the parser, may anything happen that could drop this connection.
   const std::vector<std::string_view> pieces = std::move(c->response.pieces);
+  // What came with something that can't be read is not passed on: it may belong to it.
+  if (!good) return Finish(request, Outcome::kReset);
   for (const std::string_view piece : pieces) {
-    Request* r = requests_.Get(request);
-    if (r == nullptr) return;
     c->response.tail.append(piece);
     if (c->response.tail.size() > 2 * kTail) c->response.tail.erase(0, c->response.tail.size() - kTail);
+  }
+  if (Request* r = requests_.Get(request); r != nullptr && !r->started && r->stream != 0) {
     r->last_byte = Now();
-    if (r->stream == 0 || c->response.status != 200) continue;
-    if (!r->started) {
+    // Guards against an answer that begins and does not go on: a head comes with its first event. A 1xx
+    // answer is none yet.
+    const int status = c->response.status;
+    if (status >= 100 && status < 200) {
+      c->first_byte = 0;
+      Expect(request, r->until);
+    } else if (c->first_byte == 0) {
+      c->first_byte = Now();
+      Expect(request, std::min(r->until, c->first_byte + kOpenWithin));
+    }
+    bool event = false;
+    if (c->response.status == 200 && !pieces.empty() && !Opens(*c, pieces, &event)) {
+      return Finish(request, Outcome::kReset);
+    }
+    if (event) {
       r->started = true;
       core_->deadlines->Cancel(r->deadline);
       r->deadline = core_->deadlines->Set(r->last_byte + kSilence, [this, request] { Silence(request); });
       core_->decisions->Post(
           canvasspread::AnswerStarted{r->stream, r->attempt, r->replica, r->last_byte - r->sent_at});
+      const std::string opening = std::exchange(c->response.opening, {});
+      core_->streams->Data(r->stream, opening);
+    }
+  } else {
+    for (const std::string_view piece : pieces) {
+      r = requests_.Get(request);
+      if (r == nullptr) return;
+      r->last_byte = Now();
+      if (r->stream != 0) core_->streams->Data(r->stream, piece);
     }
-    core_->streams->Data(r->stream, piece);
   }
   const Request* r = requests_.Get(request);
-  if (r == nullptr) return;
-  if (!good) {
-    Finish(request, Outcome::kReset);
-  } else if (c->response.complete) {
-    Finish(request, Result(c->response, *r));
-  }
+  if (r != nullptr && c->response.complete) Finish(request, Result(c->response, *r));
+}
+
+// Guards against taking noise for a stream: it has begun once a whole event is there, in chunks that fit.
+// Until then nothing is passed on, so that another host can still be asked. False: this can't become a
+// stream.
+bool Upstream::Opens(Connection& c, const std::vector<std::string_view>& pieces, bool* event) const {
+  std::string& text = c.response.opening;
+  for (const std::string_view piece : pieces) text.append(piece);
+  if (text.size() > kMostChunk) return false;
+  static constexpr std::string_view kLines[] = {":", "data:", "event:", "id:", "retry:"};
+  const bool known = std::any_of(std::begin(kLines), std::end(kLines), [&](std::string_view line) {
+    const std::size_t n = std::min(line.size(), text.size());
+    return std::string_view(text).substr(0, n) == line.substr(0, n);
+  });
+  const bool whole = text.find("\n\n") != std::string::npos || text.find("\r\n\r\n") != std::string::npos;
+  *event = whole && c.response.chunk_left == 0 && c.response.line_end.empty();
+  return known;
 }
 
 Outcome Upstream::Result(const Response& response, const Request& request) const {
@@ -429,7 +527,12 @@
     if (at == std::string::npos) return {};
     double value = 0;
     const char* from = report.data() + at + name.size();
-    if (std::from_chars(from, report.data() + report.size(), value).ec != std::errc()) return {};
+    const auto [end, error] = std::from_chars(from, report.data() + report.size(), value);
+    if (error != std::errc() || !std::isfinite(value) || value < 0) return {};
+    // "5x" is no number either.
+    if (end != report.data() + report.size() && *end != ',' &&
+        std::isspace(static_cast<unsigned char>(*end)) == 0)
+      return {};
     load.push_back(value);
   }
   return load;
--- a/src/net/upstream.h
+++ b/src/net/upstream.h
@@ -55,8 +55,13 @@
     bool framed = false;    // its end can be told from a break
     bool complete = false;
     bool keep = false;
+    bool value_next = false;
     std::string field, value, report;
     std::vector<std::string_view> pieces;  // of the body, within the read at hand
+    const char* read_end = nullptr;        // of the read at hand
+    std::uint64_t chunk_left = 0;          // of the chunk at hand, still to come
+    std::string_view line_end;             // what must come before the next chunk
+    std::string opening;                   // what came before there was a whole event
     std::string tail;                      // the body's last bytes
   };
 
@@ -68,6 +73,7 @@
     bool connected = false;
     bool written = false;  // the whole request was handed to the socket
     Time idle_since = 0;
+    Time first_byte = 0;  // of the answer at hand; 0: none yet
     DeadlineId deadline;  // to be up, or idle no longer
     Handle request = 0;
   };
@@ -78,6 +84,7 @@
     ReplicaId replica = 0;
     Time sent_at = 0;
     Time last_byte = 0;
+    Time until = 0;  // when the wait for an answer ends
     Handle connection = 0;
     bool started = false;
     bool paused = false;
@@ -91,6 +98,9 @@
   void Silence(Handle request);
   void Finish(Handle request, Outcome outcome);
   void Broke(Handle connection);
+  void Expect(Handle request, Time by);
+  Handle TakeIdle(Host& host);
+  bool Opens(Connection& connection, const std::vector<std::string_view>& pieces, bool* event) const;
   void Park(Handle connection);
   void Drop(Handle connection);
   Outcome Result(const Response& response, const Request& request) const;
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -231,6 +231,8 @@
     Write(config_.dump());
     kill(pid_, SIGHUP);
   }
+  void Stop() const { kill(pid_, SIGSTOP); }
+  void Continue() const { kill(pid_, SIGCONT); }
   void Hup() const { kill(pid_, SIGHUP); }
   int Exit() {
     int status = 0;
