Move the sources into rooms and give the decision module the project's name

Need: two more protocols are to come (a front and a dialect), and the node's files lay in one folder under two names. Change: include/ryeglade and src/policy hold the module, now namespace ryeglade::policy; src/base, http, core, fronts/platform, settings and app hold the node; the adapter is ryeglade_simhost.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 lint:
 	clang-format --dry-run --Werror $$(git ls-files '*.cpp' '*.h')
 	cmake -B build-test -DCMAKE_BUILD_TYPE=Release
-	printf '%s\n' src/*.cpp src/net/*.cpp simhost/*.cpp | xargs -P 4 -n 1 clang-tidy --quiet -p build-test
+	git ls-files 'src/*.cpp' 'simhost/*.cpp' | xargs -P 4 -n 1 clang-tidy --quiet -p build-test
 run: build
 	build/ryeglade serve --config $(CONFIG)
 clean:
--- a/examples/embed.cpp
+++ b/examples/embed.cpp
@@ -3,9 +3,9 @@
 #include <variant>
 #include <vector>
 
-#include "canvasspread/router.h"
+#include "ryeglade/router.h"
 
-namespace cs = canvasspread;
+namespace cs = ryeglade::policy;
 
 int main() {
   cs::Settings settings;
--- a/include/canvasspread/router.h
+++ b/include/ryeglade/router.h
@@ -1,4 +1,4 @@
-// canvasspread: the decisions of a request router for fleets of language-model servers.
+// ryeglade::policy: the decisions of a request router for fleets of language-model servers.
 //
 // One Router is one node of the routing tier. It is constructed from settings, a seed and the present
 // time; it is then given every event that concerns it, with the time of the event, and appends the actions
@@ -15,7 +15,7 @@
 #include <variant>
 #include <vector>
 
-namespace canvasspread {
+namespace ryeglade::policy {
 
 using Time = std::int64_t;  // microseconds; no particular origin
 using RequestId = std::uint64_t;
@@ -232,4 +232,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace canvasspread
+}  // namespace ryeglade::policy
--- a/simhost/codec.cpp
+++ b/simhost/codec.cpp
@@ -6,7 +6,7 @@
 #include <limits>
 #include <utility>
 
-namespace canvasspread::wire {
+namespace ryeglade::policy::wire {
 namespace {
 
 constexpr std::size_t kEntryBytes = 22;
@@ -224,4 +224,4 @@
              action);
 }
 
-}  // namespace canvasspread::wire
+}  // namespace ryeglade::policy::wire
--- a/simhost/codec.h
+++ b/simhost/codec.h
@@ -9,9 +9,9 @@
 #include <string_view>
 #include <vector>
 
-#include "canvasspread/router.h"
+#include "ryeglade/router.h"
 
-namespace canvasspread::wire {
+namespace ryeglade::policy::wire {
 
 class WireError : public std::runtime_error {
  public:
@@ -72,4 +72,4 @@
 void EncodeSource(std::uint16_t node, Writer& out);
 void EncodeAction(const Action& action, Writer& out);
 
-}  // namespace canvasspread::wire
+}  // namespace ryeglade::policy::wire
--- a/simhost/host.cpp
+++ b/simhost/host.cpp
@@ -7,7 +7,7 @@
 #include "codec.h"
 #include "settings.h"
 
-namespace canvasspread::wire {
+namespace ryeglade::policy::wire {
 
 std::string Host::Answer(std::string_view frame) {
   Reader in(frame, "batch");
@@ -69,4 +69,4 @@
   return std::move(out.bytes());
 }
 
-}  // namespace canvasspread::wire
+}  // namespace ryeglade::policy::wire
--- a/simhost/host.h
+++ b/simhost/host.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <string_view>
 
-#include "canvasspread/router.h"
+#include "ryeglade/router.h"
 
-namespace canvasspread::wire {
+namespace ryeglade::policy::wire {
 
 class Host {
  public:
@@ -19,4 +19,4 @@
   std::map<std::uint16_t, Router> routers_;
 };
 
-}  // namespace canvasspread::wire
+}  // namespace ryeglade::policy::wire
--- a/simhost/main.cpp
+++ b/simhost/main.cpp
@@ -1,4 +1,4 @@
-// canvasspread_simhost: the Router on the simulator's wire, batches on standard input, replies on standard
+// ryeglade_simhost: the Router on the simulator's wire, batches on standard input, replies on standard
 // output. End of input ends it with 0; a defect is named in one line on standard error and ends it with 1.
 #include <algorithm>
 #include <cstdio>
@@ -10,7 +10,7 @@
 
 namespace {
 
-using canvasspread::wire::WireError;
+using ryeglade::policy::wire::WireError;
 
 // Appends n bytes of input to `to`, in pieces, so that a wild length allocates no more than what comes.
 // Returns false if the input ends at a frame's start.
@@ -31,13 +31,13 @@
 }
 
 int Serve() {
-  canvasspread::wire::Host host;
+  ryeglade::policy::wire::Host host;
   std::string frame;
   while (true) {
     frame.clear();
     if (!ReadBytes(4, true, frame)) return 0;
-    const std::uint32_t size = canvasspread::wire::Reader(frame, "batch").U32("length");
-    if (size < canvasspread::wire::kBatchHeader || size > canvasspread::wire::kMaxFrame) {
+    const std::uint32_t size = ryeglade::policy::wire::Reader(frame, "batch").U32("length");
+    if (size < ryeglade::policy::wire::kBatchHeader || size > ryeglade::policy::wire::kMaxFrame) {
       throw WireError("batch: length " + std::to_string(size) + " out of range at byte 0");
     }
     ReadBytes(size - 4, false, frame);
@@ -54,7 +54,7 @@
   try {
     return Serve();
   } catch (const std::exception& e) {
-    std::fprintf(stderr, "canvasspread_simhost: %s\n", e.what());
+    std::fprintf(stderr, "ryeglade_simhost: %s\n", e.what());
     return 1;
   }
 }
--- a/simhost/settings.cpp
+++ b/simhost/settings.cpp
@@ -9,7 +9,7 @@
 
 #include "codec.h"
 
-namespace canvasspread::wire {
+namespace ryeglade::policy::wire {
 namespace {
 
 constexpr std::size_t kMaxItems = 4096;  // of any one list of objects
@@ -192,4 +192,4 @@
   return s;
 }
 
-}  // namespace canvasspread::wire
+}  // namespace ryeglade::policy::wire
--- a/simhost/settings.h
+++ b/simhost/settings.h
@@ -1,13 +1,14 @@
 // Reads the settings text that comes with a new instance: one path=value a line. Unknown keys are ignored, a
-// missing key keeps the default of canvasspread::Settings, and a malformed value is a WireError naming it.
+// missing key keeps the default of ryeglade::policy::Settings, and a malformed value is a WireError naming
+// it.
 #pragma once
 
 #include <string_view>
 
-#include "canvasspread/router.h"
+#include "ryeglade/router.h"
 
-namespace canvasspread::wire {
+namespace ryeglade::policy::wire {
 
 Settings ReadSettings(std::string_view text);
 
-}  // namespace canvasspread::wire
+}  // namespace ryeglade::policy::wire
--- a/src/main.cpp
+++ b/src/app/main.cpp
@@ -5,8 +5,8 @@
 #include <exception>
 #include <string>
 
-#include "net/config.h"
-#include "net/node.h"
+#include "app/node.h"
+#include "settings/config.h"
 
 namespace {
 
--- a/src/net/node.cpp
+++ b/src/app/node.cpp
@@ -1,19 +1,19 @@
-#include "node.h"
+#include "app/node.h"
 
 #include <uv.h>
 
 #include <csignal>
 
-#include "buffers.h"
-#include "core.h"
-#include "deadlines.h"
-#include "decisions.h"
-#include "discovery.h"
-#include "downstream.h"
-#include "log.h"
-#include "platform_front.h"
-#include "streams.h"
-#include "upstream.h"
+#include "base/buffers.h"
+#include "base/deadlines.h"
+#include "base/log.h"
+#include "core/core.h"
+#include "core/decisions.h"
+#include "core/discovery.h"
+#include "core/streams.h"
+#include "core/upstream.h"
+#include "fronts/platform/platform_front.h"
+#include "http/downstream.h"
 
 namespace ryeglade {
 namespace {
--- a/src/net/node.h
+++ b/src/app/node.h
@@ -1,7 +1,7 @@
 // One node: the modules put together on one loop, and its orderly end at SIGTERM.
 #pragma once
 
-#include "config.h"
+#include "settings/config.h"
 
 namespace ryeglade {
 
--- a/src/net/buffers.cpp
+++ b/src/base/buffers.cpp
@@ -1,4 +1,4 @@
-#include "buffers.h"
+#include "base/buffers.h"
 
 #include <algorithm>
 #include <cstring>
--- a/src/net/deadlines.cpp
+++ b/src/base/deadlines.cpp
@@ -1,4 +1,4 @@
-#include "deadlines.h"
+#include "base/deadlines.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/net/deadlines.h
+++ b/src/base/deadlines.h
@@ -9,11 +9,11 @@
 #include <functional>
 #include <map>
 
-#include "canvasspread/router.h"
+#include "ryeglade/router.h"
 
 namespace ryeglade {
 
-using canvasspread::Time;
+using policy::Time;
 
 // Unix time in microseconds when the program started, and steady from there: the origin is the one that
 // startedAtMs has, but a step of the system clock moves nothing.
--- a/src/net/log.cpp
+++ b/src/base/log.cpp
@@ -1,4 +1,4 @@
-#include "log.h"
+#include "base/log.h"
 
 #include <poll.h>
 #include <unistd.h>
@@ -9,7 +9,7 @@
 #include <cstdio>
 #include <utility>
 
-#include "deadlines.h"
+#include "base/deadlines.h"
 
 namespace ryeglade {
 
--- a/src/net/tcp.cpp
+++ b/src/base/tcp.cpp
@@ -1,4 +1,4 @@
-#include "tcp.h"
+#include "base/tcp.h"
 
 #include <sys/socket.h>
 
--- a/src/net/tcp.h
+++ b/src/base/tcp.h
@@ -8,8 +8,8 @@
 #include <string>
 #include <string_view>
 
-#include "buffers.h"
-#include "slots.h"
+#include "base/buffers.h"
+#include "base/slots.h"
 
 namespace ryeglade {
 
--- a/src/net/core.h
+++ b/src/core/core.h
@@ -3,9 +3,9 @@
 
 #include <uv.h>
 
-#include "buffers.h"
-#include "config.h"
-#include "deadlines.h"
+#include "base/buffers.h"
+#include "base/deadlines.h"
+#include "settings/config.h"
 
 namespace ryeglade {
 
--- a/src/net/decisions.cpp
+++ b/src/core/decisions.cpp
@@ -1,11 +1,11 @@
-#include "decisions.h"
+#include "core/decisions.h"
 
 #include <utility>
 #include <variant>
 
-#include "discovery.h"
-#include "streams.h"
-#include "upstream.h"
+#include "core/discovery.h"
+#include "core/streams.h"
+#include "core/upstream.h"
 
 namespace ryeglade {
 namespace {
@@ -21,22 +21,22 @@
 
 Decisions::Decisions(Core* core) : core_(core), router_(core->config->settings, core->config->seed, Now()) {}
 
-void Decisions::Post(canvasspread::Event event) {
+void Decisions::Post(policy::Event event) {
   events_.push_back(std::move(event));
   if (busy_) return;
   busy_ = true;
   while (!events_.empty()) {
-    const canvasspread::Event next = std::move(events_.front());
+    const policy::Event next = std::move(events_.front());
     events_.pop_front();
     actions_.clear();
     router_.Handle(Now(), next, actions_);
-    for (const canvasspread::Action& action : actions_) CarryOut(action);
+    for (const policy::Action& action : actions_) CarryOut(action);
   }
   busy_ = false;
 }
 
-void Decisions::CarryOut(const canvasspread::Action& action) {
-  using namespace canvasspread;
+void Decisions::CarryOut(const policy::Action& action) {
+  using namespace ryeglade::policy;
   std::visit(Overloaded{
                  [&](const SendAttempt& a) { core_->upstream->Send(a.id, a.replica, a.timeout); },
                  [&](const CancelAttempt& a) { core_->upstream->CancelAttempt(a.id, a.attempt); },
--- a/src/net/decisions.h
+++ b/src/core/decisions.h
@@ -5,24 +5,24 @@
 #include <deque>
 #include <vector>
 
-#include "canvasspread/router.h"
-#include "core.h"
+#include "core/core.h"
+#include "ryeglade/router.h"
 
 namespace ryeglade {
 
 class Decisions {
  public:
   explicit Decisions(Core* core);
-  void Post(canvasspread::Event event);
-  const canvasspread::Router& router() const { return router_; }
+  void Post(policy::Event event);
+  const policy::Router& router() const { return router_; }
 
  private:
-  void CarryOut(const canvasspread::Action& action);
+  void CarryOut(const policy::Action& action);
 
   Core* core_;
-  canvasspread::Router router_;
-  std::deque<canvasspread::Event> events_;
-  std::vector<canvasspread::Action> actions_;
+  policy::Router router_;
+  std::deque<policy::Event> events_;
+  std::vector<policy::Action> actions_;
   bool busy_ = false;
 };
 
--- a/src/net/discovery.cpp
+++ b/src/core/discovery.cpp
@@ -1,22 +1,22 @@
-#include "discovery.h"
+#include "core/discovery.h"
 
 #include <algorithm>
 #include <utility>
 #include <vector>
 
-#include "decisions.h"
-#include "log.h"
-#include "upstream.h"
+#include "base/log.h"
+#include "core/decisions.h"
+#include "core/upstream.h"
 
 namespace ryeglade {
 namespace {
 
-using canvasspread::ListScope;
-using canvasspread::Phase;
-using canvasspread::ReplicaEntry;
-using canvasspread::ReplicaId;
-using canvasspread::ReplicaList;
 using nlohmann::json;
+using policy::ListScope;
+using policy::Phase;
+using policy::ReplicaEntry;
+using policy::ReplicaId;
+using policy::ReplicaList;
 
 constexpr Time kConnectWithin = 1'000'000;
 constexpr Time kAnswerWithin = 1'500'000;
--- a/src/net/discovery.h
+++ b/src/core/discovery.h
@@ -9,9 +9,9 @@
 #include <string>
 #include <string_view>
 
-#include "core.h"
-#include "slots.h"
-#include "tcp.h"
+#include "base/slots.h"
+#include "base/tcp.h"
+#include "core/core.h"
 
 namespace ryeglade {
 
@@ -31,7 +31,7 @@
 
   // Alike at every node, whatever order the names come in (but for a clash of hashes, which gets the next
   // free number).
-  canvasspread::ReplicaId IdOf(const std::string& instance);
+  policy::ReplicaId IdOf(const std::string& instance);
 
   void OnConnected(Handle call, int status) override;
   void OnRead(Handle call, std::string_view bytes) override;
@@ -56,7 +56,7 @@
   void Failed(Handle call, const char* why);
   void Drop(Handle call);
   bool Apply(std::string_view text, bool single, bool current);
-  bool Apply(const nlohmann::json& list, canvasspread::ListScope scope);
+  bool Apply(const nlohmann::json& list, policy::ListScope scope);
   int IndexOf(const std::vector<std::string>& names, const nlohmann::json& entry, const char* key) const;
   static const http_parser_settings& Callbacks();
 
@@ -68,9 +68,9 @@
   Handle old_ = 0;  // the watch at the address that is being left
   DeadlineId move_again_;
   std::uint64_t generation_ = 0;
-  std::map<std::string, canvasspread::ReplicaId> ids_;
-  std::map<canvasspread::ReplicaId, std::string> names_;
-  std::map<canvasspread::ReplicaId, bool> hosts_;  // listed now
+  std::map<std::string, policy::ReplicaId> ids_;
+  std::map<policy::ReplicaId, std::string> names_;
+  std::map<policy::ReplicaId, bool> hosts_;  // listed now
 };
 
 }  // namespace ryeglade
--- a/src/net/streams.cpp
+++ b/src/core/streams.cpp
@@ -1,11 +1,11 @@
-#include "streams.h"
+#include "core/streams.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "decisions.h"
-#include "log.h"
-#include "upstream.h"
+#include "base/log.h"
+#include "core/decisions.h"
+#include "core/upstream.h"
 
 namespace ryeglade {
 namespace {
@@ -73,7 +73,7 @@
   const Stream* s = table_.Get(handle);
   if (s == nullptr || s->started) return;
   Log("guard-reply id=%s", s->request.call_id.c_str());
-  core_->decisions->Post(canvasspread::ClientGone{handle});  // to the module it is over
+  core_->decisions->Post(policy::ClientGone{handle});  // to the module it is over
   Refuse(handle, kGuardRetryAfter);
 }
 
@@ -82,7 +82,7 @@
   const Stream* s = table_.Get(handle);
   if (s == nullptr) return;
   Log("client-gone id=%s started=%d", s->request.call_id.c_str(), s->started ? 1 : 0);
-  core_->decisions->Post(canvasspread::ClientGone{handle});
+  core_->decisions->Post(policy::ClientGone{handle});
   End(handle, &client);
 }
 
--- a/src/net/streams.h
+++ b/src/core/streams.h
@@ -5,8 +5,8 @@
 #include <string>
 #include <string_view>
 
-#include "core.h"
-#include "slots.h"
+#include "base/slots.h"
+#include "core/core.h"
 
 namespace ryeglade {
 
@@ -14,7 +14,7 @@
 struct StreamRequest {
   std::string method, target, call_id, content_type;
   Chain body;
-  canvasspread::RequestArrived arrival;
+  policy::RequestArrived arrival;
   Time sent_at = 0;
 };
 
--- a/src/net/upstream.cpp
+++ b/src/core/upstream.cpp
@@ -1,4 +1,4 @@
-#include "upstream.h"
+#include "core/upstream.h"
 
 #include <strings.h>
 
@@ -10,9 +10,9 @@
 #include <iterator>
 #include <utility>
 
-#include "decisions.h"
-#include "log.h"
-#include "streams.h"
+#include "base/log.h"
+#include "core/decisions.h"
+#include "core/streams.h"
 
 namespace ryeglade {
 namespace {
@@ -172,7 +172,7 @@
     // Which attempt it would have been is gone with the stream; the module passes over those that are not
     // out.
     for (int n = 0; n < core_->config->settings.max_attempts; ++n) {
-      core_->decisions->Post(canvasspread::AttemptEnded{stream, n, to, Outcome::kNotSent, 0, true, 0, {}});
+      core_->decisions->Post(policy::AttemptEnded{stream, n, to, Outcome::kNotSent, 0, true, 0, {}});
     }
     return;
   }
@@ -183,7 +183,7 @@
   if (timeout > 0) deadline = std::min(deadline, now + timeout);
   if (s->started || s->upstream_request != 0 || patience <= 0) {
     core_->decisions->Post(
-        canvasspread::AttemptEnded{stream, r.attempt, to, Outcome::kNotSent, 0, s->started, 0, {}});
+        policy::AttemptEnded{stream, r.attempt, to, Outcome::kNotSent, 0, s->started, 0, {}});
     return;
   }
   Begin(r, deadline);
@@ -401,7 +401,7 @@
       core_->deadlines->Cancel(r->deadline);
       r->deadline = core_->deadlines->Set(r->last_byte + kSilence, [this, request] { Silence(request); });
       core_->decisions->Post(
-          canvasspread::AnswerStarted{r->stream, r->attempt, r->replica, r->last_byte - r->sent_at});
+          policy::AnswerStarted{r->stream, r->attempt, r->replica, r->last_byte - r->sent_at});
       const std::string opening = std::exchange(c->response.opening, {});
       core_->streams->Data(r->stream, opening);
     }
@@ -480,7 +480,7 @@
   core_->deadlines->Cancel(found->deadline);
   const Request r = *found;
   requests_.Remove(handle);
-  canvasspread::AttemptEnded ended{r.stream, r.attempt, r.replica, outcome, Now() - r.sent_at, false, 0, {}};
+  policy::AttemptEnded ended{r.stream, r.attempt, r.replica, outcome, Now() - r.sent_at, false, 0, {}};
   if (Connection* c = connections_.Get(r.connection)) {
     const Response& response = c->response;
     ended.kept_tokens = NumberAfter(response.tail, "\"cached_tokens\"");
@@ -496,7 +496,7 @@
     whole ? Park(r.connection) : Drop(r.connection);
   }
   if (r.stream == 0) {
-    core_->decisions->Post(canvasspread::ProbeAnswered{r.replica, outcome, ended.elapsed, ended.load});
+    core_->decisions->Post(policy::ProbeAnswered{r.replica, outcome, ended.elapsed, ended.load});
     return;
   }
   Stream* s = core_->streams->Get(r.stream);
--- a/src/net/upstream.h
+++ b/src/core/upstream.h
@@ -10,14 +10,14 @@
 #include <string_view>
 #include <vector>
 
-#include "core.h"
-#include "slots.h"
-#include "tcp.h"
+#include "base/slots.h"
+#include "base/tcp.h"
+#include "core/core.h"
 
 namespace ryeglade {
 
-using canvasspread::Outcome;
-using canvasspread::ReplicaId;
+using policy::Outcome;
+using policy::ReplicaId;
 
 class Upstream : public TcpOwner {
  public:
--- a/src/net/platform_front.cpp
+++ b/src/fronts/platform/platform_front.cpp
@@ -1,4 +1,4 @@
-#include "platform_front.h"
+#include "fronts/platform/platform_front.h"
 
 #include <strings.h>
 
@@ -8,8 +8,8 @@
 #include <cstdio>
 #include <utility>
 
-#include "discovery.h"
-#include "log.h"
+#include "base/log.h"
+#include "core/discovery.h"
 
 namespace ryeglade {
 namespace {
@@ -72,7 +72,7 @@
 }
 
 const char* PlatformFront::Read(const HttpRequest& request, StreamRequest& stream) const {
-  canvasspread::RequestArrived& a = stream.arrival;
+  policy::RequestArrived& a = stream.arrival;
   const auto text = [&](const char* name) -> std::string_view {
     const std::string* value = request.Header(name);
     return value == nullptr ? std::string_view() : std::string_view(*value);
--- a/src/net/platform_front.h
+++ b/src/fronts/platform/platform_front.h
@@ -6,9 +6,9 @@
 #include <unordered_map>
 #include <unordered_set>
 
-#include "core.h"
-#include "downstream.h"
-#include "streams.h"
+#include "core/core.h"
+#include "core/streams.h"
+#include "http/downstream.h"
 
 namespace ryeglade {
 
--- a/src/net/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -1,11 +1,11 @@
-#include "downstream.h"
+#include "http/downstream.h"
 
 #include <strings.h>
 
 #include <algorithm>
 #include <cstdio>
 
-#include "log.h"
+#include "base/log.h"
 
 namespace ryeglade {
 namespace {
--- a/src/net/downstream.h
+++ b/src/http/downstream.h
@@ -9,9 +9,9 @@
 #include <utility>
 #include <vector>
 
-#include "core.h"
-#include "slots.h"
-#include "tcp.h"
+#include "base/slots.h"
+#include "base/tcp.h"
+#include "core/core.h"
 
 namespace ryeglade {
 
--- a/src/router.cpp
+++ b/src/policy/router.cpp
@@ -1,5 +1,5 @@
-// canvasspread: every decision of the router. The interface (settings, events, actions) is
-// include/canvasspread/router.h.
+// ryeglade::policy: every decision of the router. The interface (settings, events, actions) is
+// include/ryeglade/router.h.
 //
 // The ordinary path, after Dyachuk and Deters' transparent scheduling:
 //   a request arrives      -> its size is estimated from what requests of its bucket took before, and it is
@@ -10,7 +10,7 @@
 //                             which keeps the prompt has more of it (Choose);
 //   outcomes teach         -> the estimates (served answers only), how slow each replica is, and the caps.
 // What departs from that path is marked "Departure" and listed, with its condition, in docs/design.md.
-#include "canvasspread/router.h"
+#include "ryeglade/router.h"
 
 #include <algorithm>
 #include <bit>
@@ -22,7 +22,7 @@
 #include <unordered_map>
 #include <utility>
 
-namespace canvasspread {
+namespace ryeglade::policy {
 namespace {
 
 // Caps.
@@ -1128,4 +1128,4 @@
 }
 double Router::cap_total() const { return impl_->cap_total(); }
 
-}  // namespace canvasspread
+}  // namespace ryeglade::policy
--- a/src/net/config.cpp
+++ b/src/settings/config.cpp
@@ -1,4 +1,4 @@
-#include "config.h"
+#include "settings/config.h"
 
 #include <charconv>
 #include <cstdlib>
@@ -6,8 +6,8 @@
 #include <iterator>
 #include <nlohmann/json.hpp>
 
+#include "base/tcp.h"
 #include "settings.h"
-#include "tcp.h"
 
 namespace ryeglade {
 namespace {
@@ -90,7 +90,7 @@
     if (!file.contains("settings")) throw ConfigError("settings are missing");
     const json& settings = file.at("settings");
     c.settings_text = FlattenSettings(settings);
-    c.settings = canvasspread::wire::ReadSettings(c.settings_text);
+    c.settings = policy::wire::ReadSettings(c.settings_text);
     c.zones = Names(settings, "localities");
     c.kinds = Names(settings, "shapes");
     if (settings.contains("stats")) c.load_fields = Names(settings.at("stats"), "fields");
--- a/src/net/config.h
+++ b/src/settings/config.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "canvasspread/router.h"
+#include "ryeglade/router.h"
 
 namespace ryeglade {
 
@@ -27,8 +27,8 @@
   std::size_t sockets = 1024;
   std::string known;          // JSON in discovery's form; empty: none
   std::string settings_text;  // flattened
-  canvasspread::Settings settings;
-  canvasspread::Time idle_close = 5'000'000;
+  policy::Settings settings;
+  policy::Time idle_close = 5'000'000;
   std::vector<std::string> zones, kinds, load_fields;
 };
 
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -8,7 +8,7 @@
 #include "host.h"
 #include "settings.h"
 
-namespace canvasspread::wire {
+namespace ryeglade::policy::wire {
 namespace {
 
 std::string Bytes(std::string_view hex) {
@@ -247,4 +247,4 @@
 }
 
 }  // namespace
-}  // namespace canvasspread::wire
+}  // namespace ryeglade::policy::wire
--- a/tests/node.h
+++ b/tests/node.h
@@ -6,9 +6,9 @@
 #include <variant>
 #include <vector>
 
-#include "canvasspread/router.h"
+#include "ryeglade/router.h"
 
-namespace canvasspread::test {
+namespace ryeglade::policy::test {
 
 inline constexpr Time kMs = 1000;
 inline constexpr Time kSecond = 1'000'000;
@@ -139,4 +139,4 @@
   Router router;
 };
 
-}  // namespace canvasspread::test
+}  // namespace ryeglade::policy::test
--- a/tests/router_path_test.cpp
+++ b/tests/router_path_test.cpp
@@ -7,7 +7,7 @@
 
 #include "node.h"
 
-namespace canvasspread::test {
+namespace ryeglade::policy::test {
 namespace {
 
 // Serves `count` requests of one prompt length so that its bucket is known to take `runtime`.
@@ -368,4 +368,4 @@
 }
 
 }  // namespace
-}  // namespace canvasspread::test
+}  // namespace ryeglade::policy::test
--- a/tests/router_rules_test.cpp
+++ b/tests/router_rules_test.cpp
@@ -6,7 +6,7 @@
 
 #include "node.h"
 
-namespace canvasspread::test {
+namespace ryeglade::policy::test {
 namespace {
 
 // ---- No request is lost ----
@@ -499,4 +499,4 @@
 }
 
 }  // namespace
-}  // namespace canvasspread::test
+}  // namespace ryeglade::policy::test
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -3,9 +3,9 @@
 #include <cstring>
 #include <map>
 
-#include "buffers.h"
+#include "base/buffers.h"
+#include "base/slots.h"
 #include "peers.h"
-#include "slots.h"
 
 namespace stories {
 namespace {
