Take the replicas' dialect out of the upstream, and give the core's parts narrow ports

Need: replicas that speak another API differ from the platform's in what is written and what an answer means, not in connections, framing or time-outs; and streams, upstream, decisions and discovery reached each other in circles. Change: core/dialect.h (one answer is read by an AnswerReader), dialects/platform with today's rules, core/ports.h in place of pointers to classes. A host's rejection of the request itself and its own wait have a way to the front. Downstream runs on base/runtime.h with options and knows nothing of the core.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -12,6 +12,7 @@
 #include "core/discovery.h"
 #include "core/streams.h"
 #include "core/upstream.h"
+#include "dialects/platform/platform_dialect.h"
 #include "fronts/platform/platform_front.h"
 #include "http/downstream.h"
 
@@ -29,17 +30,24 @@
   explicit Node(const Config& config)
       : buffers_(config.memory_mb * 1024 * 1024 / 2),
         deadlines_(Loop()),
-        core_{&loop_, &config, &deadlines_, &buffers_},
+        core_{{&loop_, &deadlines_, &buffers_},
+              &config,
+              &dialect_,
+              &decisions_,
+              &streams_,
+              &streams_,
+              &upstream_,
+              &upstream_,
+              &upstream_,
+              &discovery_},
+        dialect_(!config.settings.load_fields.empty()),
         streams_(&core_),
         upstream_(&core_, Share(config) * 45 / 100),
         discovery_(&core_),
         decisions_(&core_),
-        front_(&core_),
-        downstream_(&core_, &front_, Share(config) * 55 / 100) {
-    core_.streams = &streams_;
-    core_.upstream = &upstream_;
-    core_.discovery = &discovery_;
-    core_.decisions = &decisions_;
+        front_(&core_, &streams_),
+        downstream_(&core_, &front_,
+                    {.listen = config.listen, .most_sockets = Share(config) * 55 / 100, .admits = {}}) {
     front_.Use(&downstream_);
   }
 
@@ -50,7 +58,7 @@
     std::string listen;
     try {
       listen = downstream_.Listen();
-    } catch (const ConfigError&) {
+    } catch (const std::runtime_error&) {
       Stop();  // the loop's handles must be closed before it can go
       End();
       throw;
@@ -137,6 +145,7 @@
   Buffers buffers_;
   Deadlines deadlines_;
   Core core_;
+  PlatformDialect dialect_;
   Streams streams_;
   Upstream upstream_;
   Discovery discovery_;
--- /dev/null
+++ b/src/base/runtime.h
@@ -0,0 +1,17 @@
+// What every room above this one runs on. The node owns it; nothing here is reached from outside its loop.
+#pragma once
+
+#include <uv.h>
+
+#include "base/buffers.h"
+#include "base/deadlines.h"
+
+namespace ryeglade {
+
+struct Runtime {
+  uv_loop_t* loop = nullptr;
+  Deadlines* deadlines = nullptr;
+  Buffers* buffers = nullptr;
+};
+
+}  // namespace ryeglade
--- a/src/base/tcp.cpp
+++ b/src/base/tcp.cpp
@@ -118,6 +118,13 @@
                   }) == 0;
 }
 
+sockaddr_storage Tcp::Peer() const {
+  sockaddr_storage peer{};
+  int length = sizeof peer;
+  uv_tcp_getpeername(&tcp_, reinterpret_cast<sockaddr*>(&peer), &length);
+  return peer;
+}
+
 bool Tcp::Quiet() const {
   uv_os_fd_t fd = -1;
   char byte = 0;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -1,28 +1,24 @@
-// What the modules of a node share. The node owns it all; nothing here is reached from outside its loop.
+// What the parts of the core share: the runtime, the configuration, and each other by port. The node puts it
+// together.
 #pragma once
 
-#include <uv.h>
-
-#include "base/buffers.h"
-#include "base/deadlines.h"
+#include "base/runtime.h"
+#include "core/dialect.h"
+#include "core/ports.h"
 #include "settings/config.h"
 
 namespace ryeglade {
 
-class Decisions;
-class Discovery;
-class Streams;
-class Upstream;
-
-struct Core {
-  uv_loop_t* loop = nullptr;
+struct Core : Runtime {
   const Config* config = nullptr;
-  Deadlines* deadlines = nullptr;
-  Buffers* buffers = nullptr;
-  Streams* streams = nullptr;
-  Decisions* decisions = nullptr;
-  Upstream* upstream = nullptr;
-  Discovery* discovery = nullptr;
+  Dialect* dialect = nullptr;  // that the upstream hosts speak
+  EventPort* events = nullptr;
+  VerdictPort* verdicts = nullptr;
+  AnswerPort* answers = nullptr;
+  AttemptPort* attempts = nullptr;
+  FlowPort* flow = nullptr;
+  HostPort* hosts = nullptr;
+  MembershipPort* membership = nullptr;
 };
 
 }  // namespace ryeglade
--- a/src/core/decisions.cpp
+++ b/src/core/decisions.cpp
@@ -3,10 +3,6 @@
 #include <utility>
 #include <variant>
 
-#include "core/discovery.h"
-#include "core/streams.h"
-#include "core/upstream.h"
-
 namespace ryeglade {
 namespace {
 
@@ -38,18 +34,18 @@
 void Decisions::CarryOut(const policy::Action& action) {
   using namespace ryeglade::policy;
   std::visit(Overloaded{
-                 [&](const SendAttempt& a) { core_->upstream->Send(a.id, a.replica, a.timeout); },
-                 [&](const CancelAttempt& a) { core_->upstream->CancelAttempt(a.id, a.attempt); },
-                 [&](const Refuse& a) { core_->streams->Refuse(a.id, a.retry_after); },
-                 [&](const Fail& a) { core_->streams->Fail(a.id); },
-                 [&](const MoveStream& a) { core_->streams->Move(a.id); },
+                 [&](const SendAttempt& a) { core_->attempts->Send(a.id, a.replica, a.timeout); },
+                 [&](const CancelAttempt& a) { core_->attempts->CancelAttempt(a.id, a.attempt); },
+                 [&](const Refuse& a) { core_->verdicts->Refuse(a.id, a.retry_after); },
+                 [&](const Fail& a) { core_->verdicts->Fail(a.id); },
+                 [&](const MoveStream& a) { core_->verdicts->Move(a.id); },
                  [&](const SetTimer& a) {
                    core_->deadlines->Set(Now() + a.delay,
                                          [this, token = a.token] { Post(TimerFired{token}); });
                  },
-                 [&](const ProbeReplica& a) { core_->upstream->Probe(a.replica); },
-                 [&](const SubscribeList& a) { core_->discovery->Watch(a.on); },
-                 [&](const FetchList&) { core_->discovery->Fetch(); },
+                 [&](const ProbeReplica& a) { core_->attempts->Probe(a.replica); },
+                 [&](const SubscribeList& a) { core_->membership->Watch(a.on); },
+                 [&](const FetchList&) { core_->membership->Fetch(); },
              },
              action);
 }
--- a/src/core/decisions.h
+++ b/src/core/decisions.h
@@ -10,10 +10,10 @@
 
 namespace ryeglade {
 
-class Decisions {
+class Decisions : public EventPort {
  public:
   explicit Decisions(Core* core);
-  void Post(policy::Event event);
+  void Post(policy::Event event) override;
   const policy::Router& router() const { return router_; }
 
  private:
--- a/src/core/discovery.cpp
+++ b/src/core/discovery.cpp
@@ -5,8 +5,6 @@
 #include <vector>
 
 #include "base/log.h"
-#include "core/decisions.h"
-#include "core/upstream.h"
 
 namespace ryeglade {
 namespace {
@@ -42,7 +40,7 @@
 void Discovery::Known(const std::string& text) {
   const json list = json::parse(text, nullptr, false);
   if (list.is_object() && Apply(list, ListScope::kCached)) return;
-  core_->decisions->Post(ReplicaList{ListScope::kCached, 0, {}});
+  core_->events->Post(ReplicaList{ListScope::kCached, 0, {}});
 }
 
 void Discovery::Watch(bool on) {
@@ -68,7 +66,7 @@
 
 void Discovery::Fetch() {
   if (calls_.size() < kSockets) return Start(false);
-  core_->decisions->Post(ReplicaList{ListScope::kFailed, 0, {}});
+  core_->events->Post(ReplicaList{ListScope::kFailed, 0, {}});
 }
 
 void Discovery::Start(bool watch, bool move) {
@@ -109,7 +107,7 @@
     });
     return;
   }
-  core_->decisions->Post(ReplicaList{ListScope::kFailed, 0, {}});
+  core_->events->Post(ReplicaList{ListScope::kFailed, 0, {}});
 }
 
 void Discovery::Drop(Handle handle) {
@@ -261,7 +259,7 @@
     if (e.phase == Phase::kGone) {
       left.push_back(e.id);
     } else {
-      core_->upstream->SetHost(e.id, host_port);
+      core_->hosts->SetHost(e.id, host_port);
       listed[e.id] = true;
     }
     told.entries.push_back(e);
@@ -283,10 +281,10 @@
                                       : "full",
         static_cast<unsigned long long>(generation_), told.entries.size(), hosts_.size());
   }
-  core_->decisions->Post(std::move(told));
+  core_->events->Post(std::move(told));
   for (const ReplicaId id : left) {
     if (hosts_.contains(id)) continue;
-    core_->upstream->RemoveHost(id);
+    core_->hosts->RemoveHost(id);
     // Guards against growth: ids are always new, and one that comes back gets the same number.
     const auto known = names_.find(id);
     if (known == names_.end()) continue;
--- a/src/core/discovery.h
+++ b/src/core/discovery.h
@@ -15,18 +15,18 @@
 
 namespace ryeglade {
 
-class Discovery : public TcpOwner {
+class Discovery : public TcpOwner, public MembershipPort {
  public:
   static constexpr std::size_t kSockets = 4;
   explicit Discovery(Core* core) : core_(core), address_(core->config->discovery) {}
 
   void Known(const std::string& list);  // as the node last had it; it may be old
-  void Watch(bool on);
-  void Fetch();
+  void Watch(bool on) override;
+  void Fetch() override;
   // Another address from here on. The watch at the old one is kept until the new one has given a whole list:
   // versions of the one say nothing about versions of the other.
   void MoveTo(const std::string& address);
-  bool ready() const { return !hosts_.empty(); }
+  bool ready() const override { return !hosts_.empty(); }
   void Close();
 
   // Alike at every node, whatever order the names come in (but for a clash of hashes, which gets the next
--- /dev/null
+++ b/src/core/ports.h
@@ -0,0 +1,80 @@
+// The narrow interfaces by which the parts of the core know each other, so that none includes another.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "base/slots.h"
+#include "ryeglade/router.h"
+
+namespace ryeglade {
+
+using policy::ReplicaId;
+using policy::Time;
+
+struct Stream;
+
+// To the decision module. Its actions are carried out before Post returns, unless it is busy with an earlier
+// event.
+class EventPort {
+ public:
+  virtual ~EventPort() = default;
+  virtual void Post(policy::Event event) = 0;
+};
+
+// The decisions' side of the streams.
+class VerdictPort {
+ public:
+  virtual ~VerdictPort() = default;
+  virtual void Refuse(Handle stream, Time retry_after) = 0;
+  virtual void Fail(Handle stream) = 0;
+  virtual void Move(Handle stream) = 0;
+};
+
+// The upstream's side of the streams.
+class AnswerPort {
+ public:
+  virtual ~AnswerPort() = default;
+  virtual Stream* Get(Handle stream) = 0;
+  virtual void Data(Handle stream, std::string_view events) = 0;
+  virtual void Whole(Handle stream) = 0;
+  virtual void Broken(Handle stream) = 0;
+  // A host said that the request itself is wrong: the status and body pass on once.
+  virtual void Rejected(Handle stream, int status, const std::string& body) = 0;
+};
+
+// The decisions' side of the upstream.
+class AttemptPort {
+ public:
+  virtual ~AttemptPort() = default;
+  virtual void Send(Handle stream, ReplicaId to, Time timeout) = 0;
+  virtual void CancelAttempt(Handle stream, int attempt) = 0;
+  virtual void Probe(ReplicaId to) = 0;
+};
+
+// The streams' side of the upstream.
+class FlowPort {
+ public:
+  virtual ~FlowPort() = default;
+  virtual void Cancel(Handle upstream_request) = 0;
+  virtual void Pause(Handle upstream_request, bool pause) = 0;
+};
+
+// The membership's side of the upstream.
+class HostPort {
+ public:
+  virtual ~HostPort() = default;
+  virtual void SetHost(ReplicaId id, const std::string& host_port) = 0;
+  virtual void RemoveHost(ReplicaId id) = 0;
+};
+
+// The decisions' and the fronts' side of the membership.
+class MembershipPort {
+ public:
+  virtual ~MembershipPort() = default;
+  virtual void Watch(bool on) = 0;
+  virtual void Fetch() = 0;
+  virtual bool ready() const = 0;  // a list with at least one host is known
+};
+
+}  // namespace ryeglade
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -4,8 +4,6 @@
 #include <utility>
 
 #include "base/log.h"
-#include "core/decisions.h"
-#include "core/upstream.h"
 
 namespace ryeglade {
 namespace {
@@ -22,7 +20,8 @@
   const Time now = Now();
   Time patience = std::max<Time>(0, request.arrival.patience - (now - request.sent_at));
   if (end_by_ != 0) patience = std::min(patience, std::max<Time>(0, end_by_ - now));
-  Stream stream{std::move(request), nullptr, 0, 0, 0, 0, false, {}};
+  core_->dialect->Prepare(request);
+  Stream stream{std::move(request)};
   stream.sink = sink;
   stream.client = client;
   const Handle handle = table_.Add(std::move(stream));
@@ -30,7 +29,7 @@
   s.request.arrival.id = handle;
   s.request.arrival.patience = patience;
   Bound(s, handle, now + patience);
-  core_->decisions->Post(s.request.arrival);
+  core_->events->Post(s.request.arrival);
   return handle;
 }
 
@@ -73,7 +72,7 @@
   const Stream* s = table_.Get(handle);
   if (s == nullptr || s->started) return;
   Log("guard-reply id=%s", s->request.call_id.c_str());
-  core_->decisions->Post(policy::ClientGone{handle});  // to the module it is over
+  core_->events->Post(policy::ClientGone{handle});  // to the module it is over
   Refuse(handle, kGuardRetryAfter);
 }
 
@@ -82,12 +81,12 @@
   const Stream* s = table_.Get(handle);
   if (s == nullptr) return;
   Log("client-gone id=%s started=%d", s->request.call_id.c_str(), s->started ? 1 : 0);
-  core_->decisions->Post(policy::ClientGone{handle});
+  core_->events->Post(policy::ClientGone{handle});
   End(handle, &client);
 }
 
 void Streams::Pause(Handle handle, bool pause) {
-  if (const Stream* s = table_.Get(handle)) core_->upstream->Pause(s->upstream_request, pause);
+  if (const Stream* s = table_.Get(handle)) core_->flow->Pause(s->upstream_request, pause);
 }
 
 void Streams::Data(Handle handle, std::string_view events) {
@@ -113,14 +112,25 @@
 
 void Streams::Refuse(Handle handle, Time retry_after) {
   Handle client = 0;
-  if (const Stream* s = table_.Get(handle); s != nullptr && s->started) return;
-  if (StreamSink* sink = End(handle, &client)) sink->OnRefused(client, retry_after);
+  const Stream* s = table_.Get(handle);
+  if (s != nullptr && s->started) return;
+  const Time told = s != nullptr ? std::max(s->stay_away, retry_after) : retry_after;
+  if (StreamSink* sink = End(handle, &client)) sink->OnRefused(client, told);
 }
 
 void Streams::Fail(Handle handle) {
   Handle client = 0;
-  if (const Stream* s = table_.Get(handle); s != nullptr && s->started) return;
-  if (StreamSink* sink = End(handle, &client)) sink->OnFailed(client);
+  const Stream* s = table_.Get(handle);
+  if (s == nullptr || s->started) return;
+  const policy::Outcome last = s->last_outcome;
+  if (StreamSink* sink = End(handle, &client)) sink->OnFailed(client, last);
+}
+
+void Streams::Rejected(Handle handle, int status, const std::string& body) {
+  Handle client = 0;
+  const Stream* s = table_.Get(handle);
+  if (s == nullptr || s->started) return;
+  if (StreamSink* sink = End(handle, &client)) sink->OnRejected(client, status, body);
 }
 
 // The client asks for the rest as a new stream once its connection ends without the last chunk.
@@ -139,7 +149,7 @@
   StreamSink* sink = s->sink;
   const Handle attempt = s->upstream_request;
   table_.Remove(handle);
-  core_->upstream->Cancel(attempt);
+  core_->flow->Cancel(attempt);
   return sink;
 }
 
--- a/src/core/streams.h
+++ b/src/core/streams.h
@@ -16,9 +16,10 @@
   Chain body;
   policy::RequestArrived arrival;
   Time sent_at = 0;
+  bool prepared = false;  // the body already asks for a stream and for usage, as a front saw to it
 };
 
-// The front's side of a stream. `client` is the front's own name for it. Of the last four, exactly one comes.
+// The front's side of a stream. `client` is the front's own name for it. Of the last five, exactly one comes.
 class StreamSink {
  public:
   virtual ~StreamSink() = default;
@@ -26,7 +27,10 @@
   virtual void OnWhole(Handle client) = 0;
   virtual void OnBroken(Handle client) = 0;  // after data, before the end
   virtual void OnRefused(Handle client, Time retry_after) = 0;
-  virtual void OnFailed(Handle client) = 0;
+  // `last` is how the last attempt ended.
+  virtual void OnFailed(Handle client, policy::Outcome last) = 0;
+  // A host said that the request itself is wrong; its own status and body.
+  virtual void OnRejected(Handle client, int status, const std::string& body) = 0;
 };
 
 struct Stream {
@@ -37,10 +41,12 @@
   int attempts = 0;
   Handle upstream_request = 0;  // the one that is out
   bool started = false;
-  DeadlineId guard;
+  policy::Outcome last_outcome = policy::Outcome::kError;  // of its attempts
+  Time stay_away = 0;                                      // the longest that a host told
+  DeadlineId guard{};
 };
 
-class Streams {
+class Streams : public VerdictPort, public AnswerPort {
  public:
   explicit Streams(Core* core) : core_(core) {}
 
@@ -50,20 +56,21 @@
   void Pause(Handle stream, bool pause);  // the client does not drain what it is sent, or does again
 
   // From the upstream side.
-  void Data(Handle stream, std::string_view events);
-  void Whole(Handle stream);
-  void Broken(Handle stream);
+  void Data(Handle stream, std::string_view events) override;
+  void Whole(Handle stream) override;
+  void Broken(Handle stream) override;
+  void Rejected(Handle stream, int status, const std::string& body) override;
 
   // From the decisions.
-  void Refuse(Handle stream, Time retry_after);
-  void Fail(Handle stream);
-  void Move(Handle stream);
+  void Refuse(Handle stream, Time retry_after) override;
+  void Fail(Handle stream) override;
+  void Move(Handle stream) override;
 
   // Whatever has not begun by then gets its answer then, and so does whatever still comes. What has begun
   // ends a little earlier if its client may ask for the rest elsewhere.
   void EndBy(Time at);
 
-  Stream* Get(Handle stream) { return table_.Get(stream); }
+  Stream* Get(Handle stream) override { return table_.Get(stream); }
   std::size_t size() const { return table_.size(); }
 
   // How long before a deadline the node acts, so that the answer is with the client in time.
--- a/src/core/upstream.cpp
+++ b/src/core/upstream.cpp
@@ -11,7 +11,6 @@
 #include <utility>
 
 #include "base/log.h"
-#include "core/decisions.h"
 #include "core/streams.h"
 
 namespace ryeglade {
@@ -27,7 +26,6 @@
 constexpr Time kOpenWithin = 1'000'000;  // from an answer's first byte to its first whole event
 constexpr Time kRest = 10'000;  // a parked connection is not used again before it has been quiet this long
 constexpr std::uint64_t kMostChunk = std::uint64_t{256} * 1024;
-constexpr std::size_t kTail = 512;  // holds the usage line and the report at a stream's end
 
 const char* Name(Outcome o) {
   switch (o) {
@@ -51,18 +49,6 @@
   return "?";
 }
 
-// The number that follows `name` last in the text; 0: none. Names that an answer's own text holds are quoted
-// there with backslashes, so they do not match.
-double NumberAfter(std::string_view text, std::string_view name) {
-  std::size_t at = text.rfind(name);
-  if (at == std::string_view::npos) return 0;
-  at += name.size();
-  while (at < text.size() && (text[at] == ' ' || text[at] == ':')) ++at;
-  double number = 0;
-  std::from_chars(text.data() + at, text.data() + text.size(), number);
-  return number;
-}
-
 // The parser as Debian builds it passes over whatever stands where a chunk's line end should be, so that a
 // chunk that is longer than it says would go on as another. False: something else stands there.
 bool TakeLineEnd(std::string_view& wanted, const char* at, const char* end) {
@@ -164,7 +150,7 @@
 // ---- Requests ----
 
 void Upstream::Send(Handle stream, ReplicaId to, Time timeout) {
-  Stream* s = core_->streams->Get(stream);
+  Stream* s = core_->answers->Get(stream);
   Request r;
   r.stream = stream;
   r.replica = to;
@@ -172,7 +158,7 @@
     // Which attempt it would have been is gone with the stream; the module passes over those that are not
     // out.
     for (int n = 0; n < core_->config->settings.max_attempts; ++n) {
-      core_->decisions->Post(policy::AttemptEnded{stream, n, to, Outcome::kNotSent, 0, true, 0, {}});
+      core_->events->Post(policy::AttemptEnded{stream, n, to, Outcome::kNotSent, 0, true, 0, {}});
     }
     return;
   }
@@ -182,8 +168,7 @@
   Time deadline = s->deadline - Streams::Margin(patience, kTimeoutMargin);
   if (timeout > 0) deadline = std::min(deadline, now + timeout);
   if (s->started || s->upstream_request != 0 || patience <= 0) {
-    core_->decisions->Post(
-        policy::AttemptEnded{stream, r.attempt, to, Outcome::kNotSent, 0, s->started, 0, {}});
+    core_->events->Post(policy::AttemptEnded{stream, r.attempt, to, Outcome::kNotSent, 0, s->started, 0, {}});
     return;
   }
   Begin(r, deadline);
@@ -199,7 +184,7 @@
   request.sent_at = Now();
   const Handle handle = requests_.Add(request);
   Request& r = *requests_.Get(handle);
-  if (Stream* s = core_->streams->Get(r.stream)) s->upstream_request = handle;
+  if (Stream* s = core_->answers->Get(r.stream)) s->upstream_request = handle;
   const auto host = hosts_.find(r.replica);
   if (host == hosts_.end()) return Finish(handle, Outcome::kConnectFailed);
   r.until = deadline;
@@ -249,27 +234,18 @@
   Connection& c = *connections_.Get(handle);
   core_->deadlines->Cancel(c.deadline);
   c.response = {};
+  c.response.dialect = core_->dialect;
   http_parser_init(&c.parser, HTTP_RESPONSE);
   c.parser.data = &c.response;
   const Request& r = *requests_.Get(c.request);
   const std::string& host_port =
       hosts_.contains(c.host) ? hosts_.at(c.host).host_port : std::string("replica");
   bool ok = false;
-  if (const Stream* s = core_->streams->Get(r.stream)) {
-    const StreamRequest& q = s->request;
-    char budget[32];
-    std::snprintf(budget, sizeof budget, "%.3f",
-                  static_cast<double>(std::max<Time>(0, s->deadline - Now())) / 1e6);
-    const std::string head = q.method + " " + q.target + " HTTP/1.1\r\nHost: " + host_port +
-                             "\r\nX-Call-Id: " + q.call_id + "\r\nX-Budget: " + budget +
-                             (q.content_type.empty() ? "" : "\r\nContent-Type: " + q.content_type) +
-                             "\r\nContent-Length: " + std::to_string(q.body.size()) + "\r\n\r\n";
-    ok = c.tcp->Write(head);
-    for (const std::string_view piece : q.body.Pieces()) ok = ok && c.tcp->Write(piece);
+  if (const Stream* s = core_->answers->Get(r.stream)) {
+    ok = c.tcp->Write(core_->dialect->RequestHead(s->request, host_port, s->deadline - Now()));
+    for (const std::string_view piece : s->request.body.Pieces()) ok = ok && c.tcp->Write(piece);
   } else if (r.stream == 0) {
-    const bool reports = !core_->config->settings.load_fields.empty();
-    ok = c.tcp->Write(std::string("GET ") + (reports ? "/_load" : "/ping") +
-                      " HTTP/1.1\r\nHost: " + host_port + "\r\n\r\n");
+    ok = c.tcp->Write(core_->dialect->ProbeHead(host_port));
   }
   c.written = ok;
   if (!ok) Broke(handle);
@@ -304,8 +280,11 @@
     s.on_message_begin = [](http_parser* p) {
       Response& r = *static_cast<Response*>(p->data);
       const char* end = r.read_end;
+      const Dialect* dialect = r.dialect;
       r = {};
       r.read_end = end;
+      r.dialect = dialect;
+      r.reader = dialect->NewReader();
       return 0;
     };
     s.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
@@ -321,8 +300,7 @@
       Response& r = *static_cast<Response*>(p->data);
       r.value_next = true;
       r.value.append(at, n);
-      if (strcasecmp(r.field.c_str(), "x-rejected") == 0) r.rejected = r.value == "1";
-      if (strcasecmp(r.field.c_str(), "x-load-report") == 0) r.report = r.value;
+      r.reader->OnHeader(r.field, r.value);
       return 0;
     };
     s.on_headers_complete = [](http_parser* p) {
@@ -376,11 +354,18 @@
   const std::vector<std::string_view> pieces = std::move(c->response.pieces);
   // What came with something that can't be read is not passed on: it may belong to it.
   if (!good) return Finish(request, Outcome::kReset);
+  // A response that has not begun has no reader yet.
+  AnswerReader* reader = c->response.reader.get();
+  const bool stream = c->response.status == 200 && requests_.Get(request)->stream != 0;
+  bool alive = !stream || pieces.empty();
   for (const std::string_view piece : pieces) {
-    c->response.tail.append(piece);
-    if (c->response.tail.size() > 2 * kTail) c->response.tail.erase(0, c->response.tail.size() - kTail);
+    reader->OnBytes(piece);
+    if (!stream) continue;
+    const AnswerReader::Body body = reader->OnEvents(piece);
+    if (body == AnswerReader::Body::kSpoilt) return Finish(request, Outcome::kReset);
+    alive = alive || body == AnswerReader::Body::kEvents;
   }
-  if (Request* r = requests_.Get(request); r != nullptr && !r->started && r->stream != 0) {
+  if (Request* r = requests_.Get(request); !r->started && r->stream != 0) {
     r->last_byte = Now();
     // Guards against an answer that begins and does not go on: a head comes with its first event. A 1xx
     // answer is none yet.
@@ -388,57 +373,41 @@
     if (status >= 100 && status < 200) {
       c->first_byte = 0;
       Expect(request, r->until);
-    } else if (c->first_byte == 0) {
+    } else if (c->first_byte == 0 && core_->dialect->HeadComesWithEvent()) {
       c->first_byte = Now();
       Expect(request, std::min(r->until, c->first_byte + kOpenWithin));
     }
-    bool event = false;
-    if (c->response.status == 200 && !pieces.empty() && !Opens(*c, pieces, &event)) {
-      return Finish(request, Outcome::kReset);
+    for (const std::string_view piece : pieces) {
+      if (stream) c->response.opening.append(piece);
     }
-    if (event) {
+    if (stream && c->response.opening.size() > kMostChunk) return Finish(request, Outcome::kReset);
+    // It has begun once a whole event is there, in chunks that fit.
+    if (stream && reader->opened() && c->response.chunk_left == 0 && c->response.line_end.empty()) {
       r->started = true;
       core_->deadlines->Cancel(r->deadline);
       r->deadline = core_->deadlines->Set(r->last_byte + kSilence, [this, request] { Silence(request); });
-      core_->decisions->Post(
+      core_->events->Post(
           policy::AnswerStarted{r->stream, r->attempt, r->replica, r->last_byte - r->sent_at});
       const std::string opening = std::exchange(c->response.opening, {});
-      core_->streams->Data(r->stream, opening);
+      core_->answers->Data(r->stream, opening);
     }
   } else {
     for (const std::string_view piece : pieces) {
       r = requests_.Get(request);
       if (r == nullptr) return;
-      r->last_byte = Now();
-      if (r->stream != 0) core_->streams->Data(r->stream, piece);
+      if (alive) r->last_byte = Now();
+      if (r->stream != 0) core_->answers->Data(r->stream, piece);
     }
   }
   const Request* r = requests_.Get(request);
-  if (r != nullptr && c->response.complete) Finish(request, Result(c->response, *r));
-}
-
-// Guards against taking noise for a stream: it has begun once a whole event is there, in chunks that fit.
-// Until then nothing is passed on, so that another host can still be asked. False: this can't become a
-// stream.
-bool Upstream::Opens(Connection& c, const std::vector<std::string_view>& pieces, bool* event) const {
-  std::string& text = c.response.opening;
-  for (const std::string_view piece : pieces) text.append(piece);
-  if (text.size() > kMostChunk) return false;
-  static constexpr std::string_view kLines[] = {":", "data:", "event:", "id:", "retry:"};
-  const bool known = std::any_of(std::begin(kLines), std::end(kLines), [&](std::string_view line) {
-    const std::size_t n = std::min(line.size(), text.size());
-    return std::string_view(text).substr(0, n) == line.substr(0, n);
-  });
-  const bool whole = text.find("\n\n") != std::string::npos || text.find("\r\n\r\n") != std::string::npos;
-  *event = whole && c.response.chunk_left == 0 && c.response.line_end.empty();
-  return known;
-}
-
-Outcome Upstream::Result(const Response& response, const Request& request) const {
-  if (response.status == 200)
-    return request.stream == 0 || request.started ? Outcome::kServed : Outcome::kError;
-  const bool away = (response.status == 503 || response.status == 504) && response.rejected;
-  return away || (request.stream == 0 && response.status == 503) ? Outcome::kFull : Outcome::kError;
+  if (r == nullptr || !c->response.complete) return;
+  const AnswerEnd end = reader->AtEnd(c->response.status, r->stream == 0);
+  if (r->stream != 0 && !r->started) {
+    if (end.client_fault) return Reject(request);
+    if (Stream* s = core_->answers->Get(r->stream)) s->stay_away = std::max(s->stay_away, end.retry_after);
+  }
+  Finish(request,
+         end.outcome == Outcome::kServed && r->stream != 0 && !r->started ? Outcome::kError : end.outcome);
 }
 
 // Guards against a host that vanished: its connection stays open and says nothing.
@@ -466,12 +435,28 @@
 }
 
 void Upstream::CancelAttempt(Handle stream, int attempt) {
-  const Stream* s = core_->streams->Get(stream);
+  const Stream* s = core_->answers->Get(stream);
   if (s == nullptr || s->started) return;
   const Request* r = requests_.Get(s->upstream_request);
   if (r != nullptr && r->attempt == attempt) Cancel(s->upstream_request);
 }
 
+// The host says that the request itself is wrong: no other host is asked, and to the module the request is
+// over. The outcome says nothing of the host, as for an attempt that was called off.
+void Upstream::Reject(Handle handle) {
+  const Request& r = *requests_.Get(handle);
+  const Handle stream = r.stream;
+  const Connection& c = *connections_.Get(r.connection);
+  const int status = c.response.status;
+  const std::string body = c.response.reader->error_body();
+  Log("attempt-rejected replica=%08x status=%d", r.replica, status);
+  // The attempt first: closing it comes before anything else can be sent for its stream.
+  rejecting_ = true;
+  Finish(handle, Outcome::kCancelled);
+  rejecting_ = false;
+  core_->answers->Rejected(stream, status, body);
+}
+
 // The one outcome of an upstream request. Unless it ended well its connection is closed, and so given up on,
 // before anything else can be sent for the stream.
 void Upstream::Finish(Handle handle, Outcome outcome) {
@@ -483,36 +468,35 @@
   policy::AttemptEnded ended{r.stream, r.attempt, r.replica, outcome, Now() - r.sent_at, false, 0, {}};
   if (Connection* c = connections_.Get(r.connection)) {
     const Response& response = c->response;
-    ended.kept_tokens = NumberAfter(response.tail, "\"cached_tokens\"");
-    std::string report = response.report;
-    // A comment line of the stream's own: the text of an answer holds no bare line break.
-    const std::size_t at = response.tail.rfind("\n: X-Load-Report:");
-    if (at != std::string::npos) {
-      report = response.tail.substr(at + 17, response.tail.find('\n', at + 1) - at - 17);
+    if (response.reader != nullptr) {
+      const AnswerNotes notes = response.reader->Notes(r.stream == 0);
+      ended.kept_tokens = notes.kept_tokens;
+      ended.load = Load(notes.load_report);
     }
-    if (r.stream == 0 && report.empty()) report = response.tail;
-    ended.load = Load(report);
     const bool whole = response.complete && response.framed && response.keep && c->tcp->unsent() == 0;
     whole ? Park(r.connection) : Drop(r.connection);
   }
   if (r.stream == 0) {
-    core_->decisions->Post(policy::ProbeAnswered{r.replica, outcome, ended.elapsed, ended.load});
+    core_->events->Post(policy::ProbeAnswered{r.replica, outcome, ended.elapsed, ended.load});
     return;
   }
-  Stream* s = core_->streams->Get(r.stream);
-  ended.request_concluded = s == nullptr || r.started || outcome == Outcome::kServed;
+  Stream* s = core_->answers->Get(r.stream);
+  ended.request_concluded = s == nullptr || r.started || rejecting_ || outcome == Outcome::kServed;
   if (outcome != Outcome::kServed && outcome != Outcome::kCancelled) {
     Log("attempt-ended id=%s n=%d replica=%08x outcome=%s started=%d ms=%lld",
         s != nullptr ? s->request.call_id.c_str() : "-", r.attempt, r.replica, Name(outcome),
         r.started ? 1 : 0, static_cast<long long>(ended.elapsed / 1000));
   }
-  if (s != nullptr) s->upstream_request = 0;
+  if (s != nullptr) {
+    s->upstream_request = 0;
+    s->last_outcome = outcome;
+  }
   if (outcome == Outcome::kServed) {
-    core_->streams->Whole(r.stream);
+    core_->answers->Whole(r.stream);
   } else if (r.started) {
-    core_->streams->Broken(r.stream);
+    core_->answers->Broken(r.stream);
   }
-  core_->decisions->Post(std::move(ended));
+  core_->events->Post(std::move(ended));
 }
 
 // "inflight=7,queue=2,util=0.61" in the order that the settings name; empty unless all are there.
--- a/src/core/upstream.h
+++ b/src/core/upstream.h
@@ -6,6 +6,7 @@
 #include <http_parser.h>
 
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,24 +18,23 @@
 namespace ryeglade {
 
 using policy::Outcome;
-using policy::ReplicaId;
 
-class Upstream : public TcpOwner {
+class Upstream : public TcpOwner, public AttemptPort, public FlowPort, public HostPort {
  public:
   Upstream(Core* core, std::size_t most_sockets) : core_(core), most_sockets_(most_sockets) {}
 
   // From discovery. A changed address leaves busy connections alone and drops the idle ones.
-  void SetHost(ReplicaId id, const std::string& host_port);
-  void RemoveHost(ReplicaId id);
+  void SetHost(ReplicaId id, const std::string& host_port) override;
+  void RemoveHost(ReplicaId id) override;
 
   // From the decisions.
-  void Send(Handle stream, ReplicaId to, Time timeout);
-  void CancelAttempt(Handle stream, int attempt);
-  void Probe(ReplicaId to);
+  void Send(Handle stream, ReplicaId to, Time timeout) override;
+  void CancelAttempt(Handle stream, int attempt) override;
+  void Probe(ReplicaId to) override;
 
   // From the streams.
-  void Cancel(Handle request);
-  void Pause(Handle request, bool pause);
+  void Cancel(Handle request) override;
+  void Pause(Handle request, bool pause) override;
 
   void Close();
 
@@ -51,18 +51,18 @@
 
   struct Response {
     int status = 0;
-    bool rejected = false;  // X-Rejected: 1
-    bool framed = false;    // its end can be told from a break
+    bool framed = false;  // its end can be told from a break
     bool complete = false;
     bool keep = false;
     bool value_next = false;
-    std::string field, value, report;
+    std::string field, value;
     std::vector<std::string_view> pieces;  // of the body, within the read at hand
     const char* read_end = nullptr;        // of the read at hand
     std::uint64_t chunk_left = 0;          // of the chunk at hand, still to come
     std::string_view line_end;             // what must come before the next chunk
     std::string opening;                   // what came before there was a whole event
-    std::string tail;                      // the body's last bytes
+    const Dialect* dialect = nullptr;
+    std::unique_ptr<AnswerReader> reader;  // of the answer at hand
   };
 
   struct Connection {
@@ -97,19 +97,19 @@
   void Write(Handle connection);
   void Silence(Handle request);
   void Finish(Handle request, Outcome outcome);
+  void Reject(Handle request);
   void Broke(Handle connection);
   void Expect(Handle request, Time by);
   Handle TakeIdle(Host& host);
-  bool Opens(Connection& connection, const std::vector<std::string_view>& pieces, bool* event) const;
   void Park(Handle connection);
   void Drop(Handle connection);
-  Outcome Result(const Response& response, const Request& request) const;
   std::vector<double> Load(const std::string& report) const;
 
   static const http_parser_settings& Callbacks();
 
   Core* core_;
   std::size_t most_sockets_;
+  bool rejecting_ = false;  // the attempt that ends now ends its request too
   std::map<ReplicaId, Host> hosts_;
   Slots<Connection> connections_;
   Slots<Request> requests_;
--- /dev/null
+++ b/src/dialects/platform/platform_dialect.h
@@ -0,0 +1,23 @@
+// The platform's protocol as its model replicas speak it.
+#pragma once
+
+#include "core/dialect.h"
+
+namespace ryeglade {
+
+class PlatformDialect : public Dialect {
+ public:
+  explicit PlatformDialect(bool load_reports) : load_reports_(load_reports) {}
+  const char* name() const override { return "platform"; }
+  bool HeadComesWithEvent() const override { return true; }
+  void Prepare(StreamRequest&) const override {}
+  std::string RequestHead(const StreamRequest& request, const std::string& host,
+                          policy::Time left) const override;
+  std::string ProbeHead(const std::string& host) const override;
+  std::unique_ptr<AnswerReader> NewReader() const override;
+
+ private:
+  bool load_reports_;  // a probe asks for the load, else only for a sign of life
+};
+
+}  // namespace ryeglade
--- a/src/fronts/platform/platform_front.cpp
+++ b/src/fronts/platform/platform_front.cpp
@@ -9,7 +9,6 @@
 #include <utility>
 
 #include "base/log.h"
-#include "core/discovery.h"
 
 namespace ryeglade {
 namespace {
@@ -66,9 +65,9 @@
   stream.sent_at = request.first_byte;
   ids_.insert(stream.call_id);
   open_[connection] = {0, stream.call_id, false};
-  const Handle handle = core_->streams->Open(std::move(stream), this, connection);
+  const Handle handle = streams_->Open(std::move(stream), this, connection);
   // It may be answered already, and the connection on to its next request.
-  if (core_->streams->Get(handle) != nullptr) open_[connection].stream = handle;
+  if (streams_->Get(handle) != nullptr) open_[connection].stream = handle;
 }
 
 const char* PlatformFront::Read(const HttpRequest& request, StreamRequest& stream) const {
@@ -126,7 +125,7 @@
 
 void PlatformFront::Health(Handle connection, const HttpRequest& request) {
   if (request.method != "GET") return Local(connection, 405, "method", "Allow: GET\r\n");
-  const bool well = !downstream_->draining() && core_->discovery->ready();
+  const bool well = !downstream_->draining() && core_->membership->ready();
   downstream_->Reply(connection, well ? 200 : 503, "Content-Type: text/plain\r\n",
                      well ? "ok\n" : "not ready\n");
 }
@@ -148,12 +147,12 @@
   if (it == open_.end()) return;
   const Handle stream = it->second.stream;
   Forget(connection);
-  core_->streams->ClientGone(stream);
+  streams_->ClientGone(stream);
 }
 
 void PlatformFront::OnFlow(Handle connection, bool congested) {
   const auto it = open_.find(connection);
-  if (it != open_.end()) core_->streams->Pause(it->second.stream, congested);
+  if (it != open_.end()) streams_->Pause(it->second.stream, congested);
 }
 
 void PlatformFront::OnData(Handle connection, std::string_view events) {
@@ -187,7 +186,7 @@
   downstream_->Reply(connection, 503, after, "");
 }
 
-void PlatformFront::OnFailed(Handle connection) {
+void PlatformFront::OnFailed(Handle connection, policy::Outcome) {
   const auto it = open_.find(connection);
   if (it == open_.end()) return;
   Log("local-reply status=502 why=failed id=%s", it->second.call_id.c_str());
@@ -195,4 +194,10 @@
   downstream_->Reply(connection, 502, "", "");
 }
 
+void PlatformFront::OnRejected(Handle connection, int status, const std::string& body) {
+  Log("local-reply status=%d why=rejected", status);
+  Forget(connection);
+  downstream_->Reply(connection, status, "Content-Type: application/json\r\n", body);
+}
+
 }  // namespace ryeglade
--- a/src/fronts/platform/platform_front.h
+++ b/src/fronts/platform/platform_front.h
@@ -14,7 +14,7 @@
 
 class PlatformFront : public Front, public StreamSink {
  public:
-  explicit PlatformFront(Core* core) : core_(core) {}
+  PlatformFront(Core* core, Streams* streams) : core_(core), streams_(streams) {}
   void Use(Downstream* downstream) { downstream_ = downstream; }
 
   void OnRequest(Handle connection, HttpRequest request) override;
@@ -25,7 +25,8 @@
   void OnWhole(Handle connection) override;
   void OnBroken(Handle connection) override;
   void OnRefused(Handle connection, Time retry_after) override;
-  void OnFailed(Handle connection) override;
+  void OnFailed(Handle connection, policy::Outcome last) override;
+  void OnRejected(Handle connection, int status, const std::string& body) override;
 
  private:
   struct Open {
@@ -41,6 +42,7 @@
   void Forget(Handle connection);
 
   Core* core_;
+  Streams* streams_;
   Downstream* downstream_ = nullptr;
   std::unordered_map<Handle, Open> open_;  // by connection
   std::unordered_set<std::string> ids_;    // of the streams open now
--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -4,17 +4,16 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <stdexcept>
 
 #include "base/log.h"
 
 namespace ryeglade {
 namespace {
 
-constexpr std::size_t kMostBody = std::size_t{256} * 1024;
 constexpr std::size_t kMostAhead = std::size_t{16} * 1024;
 constexpr std::size_t kCongested =
     std::size_t{128} * 1024;               // unsent bytes at which the source is asked to stop
-constexpr Time kReadWithin = 2'700'000;    // a whole request, from its first byte or the connection's start
 constexpr Time kKeepFor = 60'000'000;      // a connection that was used and says nothing more
 constexpr Time kSilentFrom = 500'000;      // without a whole request for this long, it may have to make room
 constexpr Time kDrainWithin = 10'000'000;  // a congested client that takes nothing for this long is gone
@@ -30,6 +29,10 @@
       return "OK";
     case 400:
       return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 403:
+      return "Forbidden";
     case 404:
       return "Not Found";
     case 405:
@@ -40,12 +43,20 @@
       return "Conflict";
     case 413:
       return "Content Too Large";
+    case 422:
+      return "Unprocessable Content";
+    case 429:
+      return "Too Many Requests";
     case 431:
       return "Request Header Fields Too Large";
+    case 500:
+      return "Internal Server Error";
     case 502:
       return "Bad Gateway";
     case 503:
       return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
     case 505:
       return "HTTP Version Not Supported";
     default:
@@ -63,13 +74,17 @@
   return nullptr;
 }
 
-Downstream::Downstream(Core* core, Front* front, std::size_t most_sockets)
-    : core_(core), front_(front), most_(most_sockets * 9 / 10), surplus_(most_sockets - most_) {}
+Downstream::Downstream(const Runtime* run, Front* front, Options options)
+    : core_(run),
+      front_(front),
+      options_(std::move(options)),
+      most_(options_.most_sockets * 9 / 10),
+      surplus_(options_.most_sockets - most_) {}
 
 std::string Downstream::Listen() {
   http_parser_set_max_header_size(kMostHead);
   sockaddr_storage address{};
-  ParseAddress(core_->config->listen, &address);
+  ParseAddress(options_.listen, &address);
   uv_tcp_init(core_->loop, &listener_);
   listener_.data = this;
   listening_ = true;
@@ -79,11 +94,11 @@
       if (status == 0) static_cast<Downstream*>(s->data)->Accept();
     });
   }
-  if (error != 0) throw ConfigError("cannot listen on " + core_->config->listen + ": " + uv_strerror(error));
+  if (error != 0) throw std::runtime_error("cannot listen on " + options_.listen + ": " + uv_strerror(error));
   int length = sizeof address;
   uv_tcp_getsockname(&listener_, reinterpret_cast<sockaddr*>(&address), &length);
   const auto* in = reinterpret_cast<const sockaddr_in*>(&address);  // the port stands there in both families
-  const std::string& told = core_->config->listen;
+  const std::string& told = options_.listen;
   return told.substr(0, told.rfind(':') + 1) + std::to_string(ntohs(in->sin_port));
 }
 
@@ -133,7 +148,7 @@
     slow->state = State::kAnswering;
     slow->keep_alive = false;
     Log("local-reply status=408 why=slow-sender");
-    Reply(handle, 408, "", "");
+    Error(handle, 408);
   });
 }
 
@@ -153,14 +168,18 @@
 
 void Downstream::AcceptOne() {
   const bool surplus = clients_.size() >= most_;
-  const Handle handle = clients_.Add(Client(core_->buffers));
+  const Handle handle = clients_.Add(Client(core_->buffers, options_.most_body));
   Client& c = *clients_.Get(handle);
   c.tcp = Tcp::New(core_->loop, core_->buffers, this, handle);
   c.surplus = surplus;
   http_parser_init(&c.parser, HTTP_REQUEST);
   c.idle_since = last_arrival_ = Now();
   if (!c.tcp->Accept(reinterpret_cast<uv_stream_t*>(&listener_))) return Drop(handle);
-  Expire(handle, Now() + kReadWithin);
+  if (options_.admits && !options_.admits(c.tcp->Peer())) {
+    Log("client-not-admitted");
+    return Drop(handle);
+  }
+  Expire(handle, Now() + options_.read_within);
   c.tcp->Read();
 }
 
@@ -226,7 +245,7 @@
       c.request.http11 = p->http_major == 1 && p->http_minor >= 1;
       c.keep_alive = http_should_keep_alive(p) != 0;
       if (p->method == HTTP_CONNECT) c.reject = 405;
-      if ((p->flags & F_CONTENTLENGTH) != 0 && p->content_length > kMostBody) c.reject = 413;
+      if ((p->flags & F_CONTENTLENGTH) != 0 && p->content_length > c.most_body) c.reject = 413;
       if (c.reject != 0) return -1;
       p->upgrade = 0;  // offers to change the protocol are passed over
       const std::string* expect = c.request.Header("expect");
@@ -237,7 +256,7 @@
     };
     s.on_body = [](http_parser* p, const char* at, std::size_t n) {
       Client& c = *static_cast<Client*>(p->data);
-      if (c.request.body.size() + n > kMostBody) {
+      if (c.request.body.size() + n > c.most_body) {
         c.reject = 413;
       } else if (!c.request.body.Append({at, n})) {
         c.reject = 503;
@@ -275,7 +294,7 @@
       c->state = State::kReading;
       c->request.first_byte = last_arrival_ = Now();
       // The first request has its time from the connection's start on.
-      if (c->used) Expire(handle, c->request.first_byte + kReadWithin);
+      if (c->used) Expire(handle, c->request.first_byte + options_.read_within);
     }
     c->parser.data = c;
     const std::string bytes = std::move(c->ahead);
@@ -292,7 +311,7 @@
       if (c->surplus && clients_.size() > most_ && !MakeRoom()) {
         Log("local-reply status=503 why=sockets clients=%zu", clients_.size());
         c->keep_alive = false;
-        Reply(handle, 503, "Retry-After: 1\r\n", "");
+        Error(handle, 503);
       } else {
         HttpRequest request = std::move(c->request);
         front_->OnRequest(handle, std::move(request));
@@ -303,7 +322,7 @@
       core_->deadlines->Cancel(c->deadline);
       c->state = State::kAnswering;
       c->keep_alive = false;
-      Reply(handle, status, status == 503 ? "Retry-After: 1\r\n" : "", "");
+      Error(handle, status);
     }
     c = clients_.Get(handle);
   }
@@ -323,6 +342,12 @@
   Done(handle);
 }
 
+void Downstream::Error(Handle handle, int status) {
+  std::string headers = status == 503 ? "Retry-After: 1\r\n" : "", body;
+  front_->Dress(status, headers, body);
+  Reply(handle, status, headers, body);
+}
+
 void Downstream::BeginChunks(Handle handle, const std::string& headers) {
   Client* c = clients_.Get(handle);
   if (c == nullptr || c->state != State::kAnswering) return;
@@ -375,6 +400,18 @@
 
 void Downstream::Abort(Handle handle) { Drop(handle); }
 
+void Downstream::EndBroken(Handle handle) {
+  Client* c = clients_.Get(handle);
+  if (c == nullptr || c->state != State::kAnswering) return;
+  c->keep_alive = false;
+  Done(handle);
+}
+
+sockaddr_storage Downstream::PeerOf(Handle handle) {
+  const Client* c = clients_.Get(handle);
+  return c == nullptr ? sockaddr_storage{} : c->tcp->Peer();
+}
+
 void Downstream::CloseAfter(Handle handle) {
   if (Client* c = clients_.Get(handle)) c->keep_alive = false;
 }
--- a/src/http/downstream.h
+++ b/src/http/downstream.h
@@ -4,14 +4,15 @@
 
 #include <http_parser.h>
 
+#include <functional>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "base/runtime.h"
 #include "base/slots.h"
 #include "base/tcp.h"
-#include "core/core.h"
 
 namespace ryeglade {
 
@@ -30,22 +31,34 @@
  public:
   virtual ~Front() = default;
   virtual void OnRequest(Handle connection, HttpRequest request) = 0;
-  virtual void OnGone(Handle connection) = 0;                  // the client left while an answer was owed
+  virtual void OnGone(Handle connection) = 0;  // the client left while an answer was owed
+  // What HTTP itself found wrong is answered without asking; the front may give that answer its own shape.
+  virtual void Dress(int /*status*/, std::string& /*headers*/, std::string& /*body*/) {}
   virtual void OnFlow(Handle connection, bool congested) = 0;  // the client does not drain, or does again
 };
 
 class Downstream : public TcpOwner {
  public:
-  Downstream(Core* core, Front* front, std::size_t most_sockets);
+  struct Options {
+    std::string listen;  // ip:port; port 0: the kernel chooses
+    std::size_t most_sockets = 0;
+    std::size_t most_body = std::size_t{256} * 1024;  // bytes
+    Time read_within = 2'700'000;  // a whole request, from its first byte or the connection's start
+    // Says whether to go on with a client at all; absent: with all.
+    std::function<bool(const sockaddr_storage&)> admits;
+  };
+  Downstream(const Runtime* run, Front* front, Options options);
 
-  std::string Listen();  // the address in use; throws ConfigError
+  std::string Listen();  // the address in use; throws std::runtime_error
   // Answers of the request at hand, one whole or one in chunks.
   void Reply(Handle connection, int status, const std::string& headers, std::string_view body);
   void BeginChunks(Handle connection, const std::string& headers);
   void Chunk(Handle connection, std::string_view bytes);
   void EndChunks(Handle connection);
-  void CloseAfter(Handle connection);  // no further request is taken on it
-  void Abort(Handle connection);       // ends the connection without the last chunk
+  sockaddr_storage PeerOf(Handle connection);  // all zero: not known
+  void CloseAfter(Handle connection);          // no further request is taken on it
+  void Abort(Handle connection);               // ends the connection without the last chunk
+  void EndBroken(Handle connection);           // the same, once all that was written has gone out
 
   void Drain();      // from here on every answer closes its connection
   void CloseIdle();  // connections on which nothing is owed and nothing has begun
@@ -62,11 +75,12 @@
   enum class State : unsigned char { kIdle, kReading, kAnswering, kLingering };
 
   struct Client {
-    explicit Client(Buffers* pool) : request(pool) {}
+    Client(Buffers* pool, std::size_t body) : request(pool), most_body(body) {}
     Tcp* tcp = nullptr;
     http_parser parser{};
     State state = State::kIdle;
     HttpRequest request;
+    std::size_t most_body;
     bool value_next = false;
     int reject = 0;  // the status that the parser's callbacks ended the request with
     bool complete = false;
@@ -86,6 +100,7 @@
   void Feed(Handle connection);
   void Expire(Handle connection, Time at);
   static bool Idle(const Client& client);
+  void Error(Handle connection, int status);
   void Done(Handle connection);
   void Linger(Handle connection);
   void Drop(Handle connection);
@@ -93,8 +108,9 @@
   void Sent(Handle connection, bool written);
   static const http_parser_settings& Callbacks();
 
-  Core* core_;
+  const Runtime* core_;
   Front* front_;
+  Options options_;
   std::size_t most_, surplus_;
   uv_tcp_t listener_{};
   bool listening_ = false;
