--- /dev/null
+++ b/lab/main.cpp
@@ -0,0 +1,160 @@
+// ryeglade-lab: stand-ins on loopback, a demonstration, and replays through the node's fronts and dialects.
+#include <signal.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <exception>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "lab/replay.h"
+#include "lab/rig.h"
+
+namespace {
+
+using namespace ryeglade::lab;
+
+volatile sig_atomic_t interrupted = 0;
+
+// The node lies beside this program, unless told otherwise.
+std::string NodeProgram(const std::string& told) {
+  if (!told.empty()) return told;
+  std::error_code error;
+  const std::filesystem::path self = std::filesystem::read_symlink("/proc/self/exe", error);
+  return (self.parent_path() / "ryeglade").string();
+}
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) throw std::runtime_error("cannot read " + path);
+  return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+}
+
+int Demo(const std::string& program, int port, const std::string& key) {
+  for (const int number : {SIGINT, SIGTERM}) {
+    struct sigaction act {};
+    act.sa_handler = [](int) { interrupted = 1; };
+    sigaction(number, &act, nullptr);
+  }
+  RigOptions options;
+  options.program = program;
+  options.openai_listen = "127.0.0.1:" + std::to_string(port);
+  options.key = key;
+  options.replicas.resize(3);
+  Rig rig(options);
+  std::printf("ready base_url=http://%s/v1 key=%s\n", rig.openai().c_str(), key.c_str());
+  std::fflush(stdout);
+  rig.run()->deadlines->Set(ryeglade::Now(), [] {});
+  while (interrupted == 0 && rig.node().Running()) {
+    rig.Until([] { return interrupted != 0; }, 200'000);
+  }
+  if (interrupted == 0) {
+    std::fprintf(stderr, "ryeglade-lab: the node ended by itself; it said:\n%s", rig.node().Log().c_str());
+    return 1;
+  }
+  return 0;
+}
+
+void Progress(std::size_t done, std::size_t all) {
+  std::fprintf(stderr, "  %zu of %zu answered\n", done, all);
+}
+
+Speech SpeechOf(const std::string& word) { return word == "openai" ? Speech::kOpenAi : Speech::kPlatform; }
+
+int ReplayOne(const std::vector<TraceLine>& trace, const std::string& program, const std::string& front,
+              const std::string& dialect, const std::string& log) {
+  const ReplayResult result = Replay(trace, {program, SpeechOf(dialect), front == "openai", Progress});
+  std::fputs(Table(trace, result).c_str(), stdout);
+  if (!log.empty() && !(std::ofstream(log) << result.log).flush()) throw std::runtime_error("cannot write " + log);
+  return result.two_at_once == 0 ? 0 : 1;
+}
+
+// All four pairs of front and dialect must come to the same for each request.
+int Parity(const std::vector<TraceLine>& trace, const std::string& program) {
+  std::vector<std::pair<std::string, ReplayResult>> all;
+  for (const char* front : {"platform", "openai"}) {
+    for (const char* dialect : {"platform", "openai"}) {
+      const std::string name = std::string(front) + " front, " + dialect + " dialect";
+      std::fprintf(stderr, "%s\n", name.c_str());
+      all.emplace_back(name,
+                       Replay(trace, {program, SpeechOf(dialect), std::string(front) == "openai", Progress}));
+      std::printf("%s\n%s\n", name.c_str(), Table(trace, all.back().second).c_str());
+    }
+  }
+  std::size_t differing = 0, overlaps = 0;
+  for (const auto& [name, result] : all) {
+    overlaps += result.two_at_once;
+    for (std::size_t n = 0; n < trace.size(); ++n) {
+      if (result.ends[n] == all.front().second.ends[n]) continue;
+      if (++differing <= 10) {
+        std::printf("differs: line %zu (%s): %s at first, %s with %s\n", n + 1, Word(trace[n].fault),
+                    Word(all.front().second.ends[n]), Word(result.ends[n]), name.c_str());
+      }
+    }
+  }
+  std::printf(
+      "%zu requests, %zu differing outcomes, %zu overlapping attempts, worth %.0f in each of %zu pairs\n",
+      trace.size(), differing, overlaps, all.front().second.worth, all.size());
+  return differing == 0 && overlaps == 0 ? 0 : 1;
+}
+
+int Run(int argc, char** argv) {
+  CLI::App app("Stand-ins, demonstrations and experiments for ryeglade, on loopback.");
+  app.require_subcommand(1);
+  std::string program, key = "demo", path, front = "openai", dialect = "openai", log;
+  int port = 8080;
+  std::size_t requests = 2000;
+  std::uint64_t seed = 1;
+  double rate = 250;
+  app.add_option("--program", program, "the node's program; else `ryeglade` beside this one");
+
+  CLI::App* demo = app.add_subcommand("demo", "a node, discovery and three stand-in replicas, until Ctrl-C");
+  demo->add_option("--port", port, "where the node serves the API")->check(CLI::Range(0, 65535));
+  demo->add_option("--key", key, "the key that clients show");
+
+  CLI::App* trace = app.add_subcommand("trace", "write a trace to standard output");
+  trace->add_option("--requests", requests)->check(CLI::Range(std::size_t{1}, std::size_t{1'000'000}));
+  trace->add_option("--seed", seed);
+  trace->add_option("--rate", rate, "requests a second")->check(CLI::Range(0.1, 1e5));
+
+  CLI::App* replay = app.add_subcommand("replay", "play a trace through one front and one dialect");
+  replay->add_option("trace", path)->required();
+  replay->add_option("--front", front)->check(CLI::IsMember({"platform", "openai"}));
+  replay->add_option("--dialect", dialect)->check(CLI::IsMember({"platform", "openai"}));
+
+  replay->add_option("--log", log, "where to put what the node logged");
+
+  CLI::App* parity =
+      app.add_subcommand("parity", "play a trace through all four pairs and compare each request's end");
+  parity->add_option("trace", path, "absent: one is made");
+  parity->add_option("--requests", requests)->check(CLI::Range(std::size_t{1}, std::size_t{1'000'000}));
+  parity->add_option("--seed", seed);
+  parity->add_option("--rate", rate, "requests a second")->check(CLI::Range(0.1, 1e5));
+
+  CLI11_PARSE(app, argc, argv);
+  const std::string node = NodeProgram(program);
+  const auto lines = [&] {
+    return path.empty() ? MakeTrace(requests, seed, rate) : ReadTrace(ReadFile(path));
+  };
+  if (*demo) return Demo(node, port, key);
+  if (*trace) return std::fputs(WriteTrace(MakeTrace(requests, seed, rate)).c_str(), stdout) < 0 ? 1 : 0;
+  if (*replay) return ReplayOne(lines(), node, front, dialect, log);
+  return Parity(lines(), node);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  signal(SIGPIPE, SIG_IGN);
+  try {
+    return Run(argc, argv);
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "ryeglade-lab: %s\n", e.what());
+    return 1;
+  }
+}
--- /dev/null
+++ b/lab/node_process.cpp
@@ -0,0 +1,123 @@
+#include "lab/node_process.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace ryeglade::lab {
+namespace {
+
+void Put(const std::string& path, const std::string& text) {
+  std::ofstream out(path, std::ios::binary);
+  out << text;
+  if (!out.flush()) throw std::runtime_error("cannot write " + path);
+}
+
+}  // namespace
+
+void NodeProcess::Start(const std::string& program, const NodeFiles& files) {
+  std::string name = std::filesystem::temp_directory_path().string() + "/ryeglade-lab-XXXXXX";
+  if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("cannot make a directory " + name);
+  directory_ = name;
+  const std::string config = directory_ + "/config.json", settings = directory_ + "/settings.toml",
+                    keys = directory_ + "/keys.toml", log = directory_ + "/log";
+  Put(config, files.config);
+  if (!files.keys.empty()) {
+    Put(keys, files.keys);
+    chmod(keys.c_str(), 0600);
+  }
+  std::string text = files.settings;
+  for (const auto& [word, by] :
+       {std::pair<std::string, std::string>{"@KEYS@", keys}, {"@DIR@", directory_}}) {
+    for (std::size_t at = text.find(word); at != std::string::npos; at = text.find(word)) {
+      text.replace(at, word.size(), by);
+    }
+  }
+  Put(settings, text);
+  pid_ = fork();
+  if (pid_ < 0) throw std::runtime_error("cannot start a process");
+  if (pid_ == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);  // nothing is left behind, however the lab ends
+    setpgid(0, 0);                     // Ctrl-C is the lab's to hand on
+    for (const char* variable : {"EDGE_CONFIG", "EDGE_NAME", "EDGE_LISTEN", "EDGE_DISCOVERY"})
+      unsetenv(variable);
+    const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    if (fd >= 0) dup2(fd, STDERR_FILENO);
+    if (files.settings.empty()) {
+      execl(program.c_str(), program.c_str(), "serve", "--config", config.c_str(), nullptr);
+    } else {
+      execl(program.c_str(), program.c_str(), "serve", "--config", config.c_str(), "--settings",
+            settings.c_str(), nullptr);
+    }
+    _exit(127);
+  }
+}
+
+std::string NodeProcess::Log() const {
+  std::ifstream in(directory_ + "/log", std::ios::binary);
+  return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+}
+
+bool NodeProcess::Running() {
+  if (pid_ <= 0) return false;
+  if (waitpid(pid_, &status_, WNOHANG) != pid_) return true;
+  pid_ = -1;
+  return false;
+}
+
+void NodeProcess::Signal(int number) const {
+  if (pid_ > 0) kill(pid_, number);
+}
+
+int NodeProcess::Stop() {
+  if (pid_ > 0) {
+    kill(pid_, SIGTERM);
+    waitpid(pid_, &status_, 0);
+    pid_ = -1;
+  }
+  return WIFEXITED(status_) ? WEXITSTATUS(status_) : 128 + WTERMSIG(status_);
+}
+
+NodeProcess::~NodeProcess() {
+  Stop();
+  std::error_code ignored;
+  if (!directory_.empty()) std::filesystem::remove_all(directory_, ignored);
+}
+
+std::string ConfigJson(const std::string& listen, const std::string& discovery, const std::string& known) {
+  const auto cls = [](const char* name, double worth) {
+    return nlohmann::json{{"name", name},   {"promise", 20'000'000}, {"deadline", 30'000'000},
+                          {"stream", true}, {"effect", "free"},      {"worth", worth}};
+  };
+  const nlohmann::json config = {{"name", "lab"},
+                                 {"listen", listen},
+                                 {"discovery", discovery},
+                                 {"seed", "8c1f30d27a5be964"},
+                                 {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 4096}}},
+                                 {"known", nlohmann::json::parse(known)},
+                                 {"settings",
+                                  {{"classes", {cls("docs", 3), cls("agent", 9)}},
+                                   {"localities", {"z"}},
+                                   {"shapes", {"m"}},
+                                   {"membership-mode", "ask"},
+                                   {"stats", {{"how", "none"}}},
+                                   {"limits",
+                                    {{"max-attempts", 4},
+                                     {"idle-close", 5'000'000},
+                                     {"connect-timeout", 2'000'000},
+                                     {"retry-after", true}}},
+                                   {"obligations", {{"ask-within", 500'000}}}}}};
+  return config.dump();
+}
+
+}  // namespace ryeglade::lab
--- /dev/null
+++ b/lab/node_process.h
@@ -0,0 +1,43 @@
+// A node as a process of its own, with files of its own in a directory that goes with it.
+#pragma once
+
+#include <sys/types.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace ryeglade::lab {
+
+struct NodeFiles {
+  std::string config;    // the platform's JSON
+  std::string settings;  // TOML; empty: none
+  std::string keys;      // the key file; empty: none. The settings name it as KEYS.
+};
+
+class NodeProcess {
+ public:
+  NodeProcess() = default;
+  NodeProcess(const NodeProcess&) = delete;
+  NodeProcess& operator=(const NodeProcess&) = delete;
+  ~NodeProcess();
+
+  // Starts `program serve`, its log to `log` in the directory. Throws std::runtime_error.
+  void Start(const std::string& program, const NodeFiles& files);
+  std::string Log() const;
+  const std::string& directory() const { return directory_; }
+  bool Running();  // false: it has ended
+  void Signal(int number) const;
+  int Stop();  // SIGTERM, and its exit code; 128 and more: it died of a signal
+  pid_t pid() const { return pid_; }
+
+ private:
+  std::string directory_;
+  pid_t pid_ = -1;
+  int status_ = 0;
+};
+
+// A minimal configuration of the platform's JSON: two classes, `docs` and `agent`, with generous aims.
+std::string ConfigJson(const std::string& listen, const std::string& discovery, const std::string& known);
+
+}  // namespace ryeglade::lab
--- /dev/null
+++ b/lab/rig.cpp
@@ -0,0 +1,102 @@
+#include "lab/rig.h"
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+
+#include "keys/keyring.h"
+
+namespace ryeglade::lab {
+namespace {
+
+constexpr Time kComeUpWithin = 20'000'000;
+
+uv_loop_t* Init(uv_loop_t* loop) {
+  uv_loop_init(loop);
+  return loop;
+}
+
+}  // namespace
+
+Rig::Rig(const RigOptions& options)
+    : buffers_(std::size_t{256} * 1024 * 1024),
+      deadlines_(Init(&loop_)),
+      run_{&loop_, &deadlines_, &buffers_},
+      client_(&run_),
+      directory_(&run_) {
+  for (std::size_t i = 0; i < options.replicas.size(); ++i) {
+    replicas_.push_back(std::make_unique<StandIn>(&run_, &witness_, options.replicas[i]));
+    directory_.Set("stand-in-" + std::to_string(i), replicas_.back()->Listen());
+  }
+  NodeFiles files;
+  files.config = ConfigJson("127.0.0.1:0", directory_.Listen(), directory_.Text(true));
+  const bool openai = !options.replicas.empty() && options.replicas.front().speech == Speech::kOpenAi;
+  files.settings = fmt::format(
+      "[upstream]\ndialect = \"{}\"\n\n[openai]\nlisten = \"{}\"\nmetrics_networks = [\"127.0.0.0/8\"]\n{}"
+      "\n[openai.ledger]\ndirectory = \"@DIR@\"\n\n[openai.limits]\n{}\n"
+      "\n[[openai.model]]\nid = \"docs-model\"\nclass = \"docs\"\n\n[[openai.model]]\nid = "
+      "\"agent-model\"\nclass = \"agent\"\n"
+      "{}",
+      openai ? "openai" : "platform", options.openai_listen, options.key.empty() ? "" : "keys = \"@KEYS@\"\n",
+      options.limits, options.more_settings);
+  if (!options.key.empty()) {
+    keys::Keyring ring;
+    ring.Add(keys::KeyFromText("lab", options.key));
+    files.keys = ring.Text();
+  }
+  node_.Start(options.program, files);
+  const bool up = Until(
+      [&] {
+        platform_ = Word("listening");
+        openai_ = Word("listening-openai");
+        const bool listed = node_.Log().find("event=list ") != std::string::npos;
+        deadlines_.Set(Now() + 20'000, [] {});
+        return !node_.Running() || (!platform_.empty() && !openai_.empty() && listed);
+      },
+      kComeUpWithin);
+  if (!up || !node_.Running()) throw std::runtime_error("the node did not come up; it says: " + node_.Log());
+}
+
+Rig::~Rig() {
+  node_.Stop();
+  for (const auto& replica : replicas_) replica->Close();
+  directory_.Close();
+  deadlines_.Close();
+  for (int i = 0; i < 100 && uv_loop_alive(&loop_) != 0; ++i) uv_run(&loop_, UV_RUN_NOWAIT);
+  uv_loop_close(&loop_);
+}
+
+std::string Rig::Word(const std::string& event) const {
+  const std::string log = node_.Log(), mark = "event=" + event + " addr=";
+  const std::size_t at = log.find(mark);
+  if (at == std::string::npos) return "";
+  const std::size_t from = at + mark.size(), to = log.find_first_of(" \n", from);
+  return to == std::string::npos ? "" : log.substr(from, to - from);
+}
+
+Reply Rig::Ask(const std::string& to, const std::string& request, Time most) {
+  Reply reply;
+  bool done = false;
+  client_.Ask(to, request, most, [&](const Reply& r) {
+    reply = r;
+    done = true;
+  });
+  Until([&] { return done; }, most + 1'000'000);
+  return reply;
+}
+
+std::string Rig::Ledger() {
+  node_.Signal(15);
+  Until(
+      [&] {
+        deadlines_.Set(Now() + 20'000, [] {});
+        return !node_.Running();
+      },
+      kComeUpWithin);
+  std::ifstream in(node_.directory() + "/ledger-lab.json", std::ios::binary);
+  return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+}
+
+}  // namespace ryeglade::lab
--- /dev/null
+++ b/lab/rig.h
@@ -0,0 +1,73 @@
+// A whole installation on loopback: stand-in replicas, discovery and one node as a process.
+#pragma once
+
+#include <uv.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/buffers.h"
+#include "base/deadlines.h"
+#include "lab/client.h"
+#include "lab/directory.h"
+#include "lab/node_process.h"
+#include "lab/stand_in.h"
+
+namespace ryeglade::lab {
+
+struct RigOptions {
+  std::string program;  // the node's
+  std::vector<StandInOptions> replicas;
+  std::string openai_listen = "127.0.0.1:0";
+  std::string key;            // that clients show; empty: no keys are asked for
+  std::string more_settings;  // TOML put behind what the rig writes
+  std::string limits;         // TOML of [openai.limits]
+};
+
+class Rig {
+ public:
+  explicit Rig(const RigOptions& options);  // throws std::runtime_error if the node does not come up
+  ~Rig();
+  Rig(const Rig&) = delete;
+  Rig& operator=(const Rig&) = delete;
+
+  const Runtime* run() const { return &run_; }
+  Client& client() { return client_; }
+  NodeProcess& node() { return node_; }
+  Witness& witness() { return witness_; }
+  Directory& directory() { return directory_; }
+  std::vector<std::unique_ptr<StandIn>>& replicas() { return replicas_; }
+  const std::string& platform() const { return platform_; }  // ip:port of the node's two fronts
+  const std::string& openai() const { return openai_; }
+
+  void Turn() { uv_run(&loop_, UV_RUN_ONCE); }
+  // Turns the loop until `done` says so; false: `most` has passed first.
+  template <class Condition>
+  bool Until(Condition done, Time most) {
+    const Time end = Now() + most;
+    DeadlineId wake = deadlines_.Set(end, [] {});
+    while (!done() && Now() < end) Turn();
+    deadlines_.Cancel(wake);
+    return done();
+  }
+  // One request, waited for.
+  Reply Ask(const std::string& to, const std::string& request, Time most = 60'000'000);
+  std::string Ledger();  // stops the node, and the ledger it wrote
+
+ private:
+  std::string Word(const std::string& event) const;
+
+  uv_loop_t loop_{};
+  Buffers buffers_;
+  Deadlines deadlines_;
+  Runtime run_;
+  Witness witness_;
+  Client client_;
+  Directory directory_;
+  std::vector<std::unique_ptr<StandIn>> replicas_;
+  NodeProcess node_;
+  std::string platform_, openai_;
+};
+
+}  // namespace ryeglade::lab
--- /dev/null
+++ b/lab/stand_in.cpp
@@ -0,0 +1,212 @@
+#include "lab/stand_in.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "lab/text.h"
+#include "openai/body.h"
+#include "openai/strict_json.h"
+
+namespace ryeglade::lab {
+namespace {
+
+constexpr std::size_t kBytesPerToken = 4;
+
+}  // namespace
+
+StandIn::StandIn(const Runtime* run, Witness* witness, StandInOptions options)
+    : run_(run),
+      witness_(witness),
+      options_(options),
+      server_(run, this,
+              {.listen = "127.0.0.1:0", .most_sockets = 4096, .read_within = 60'000'000, .admits = {}}) {}
+
+std::string StandIn::Listen() { return server_.Listen(); }
+
+void StandIn::Turn(Handle connection, int status) {
+  if (options_.speech == Speech::kPlatform) {
+    const bool away = status == 429;
+    return server_.Reply(connection, away ? 503 : status, away ? "X-Rejected: 1\r\n" : "", "");
+  }
+  const bool away = status == 429;
+  server_.Reply(
+      connection, status,
+      std::string("Content-Type: application/json\r\n") + (away ? "Retry-After: 1\r\n" : ""),
+      fmt::format("{{\"error\":{{\"message\":\"stand-in says {}\",\"type\":\"stand_in\",\"param\":null,"
+                  "\"code\":null}}}}",
+                  status));
+}
+
+void StandIn::OnRequest(Handle connection, HttpRequest request) {
+  const std::string_view path = std::string_view(request.target).substr(0, request.target.find('?'));
+  if (path == "/ping" || path == "/_load") {
+    return server_.Reply(connection, 200, "", fmt::format("qps=0,queue={},x0=0", waiting_.size()));
+  }
+  if (path == "/v1/models") {
+    return server_.Reply(connection, 200, "Content-Type: application/json\r\n",
+                         "{\"object\":\"list\",\"data\":[]}");
+  }
+  const bool chat = path == "/v1/chat/completions";
+  if (!chat && path != "/v1/completions") return Turn(connection, 404);
+  std::string body;
+  for (const std::string_view piece : request.body.Pieces()) body.append(piece);
+  const openai::BodyResult read =
+      openai::ReadBody(body, chat ? openai::Endpoint::kChat : openai::Endpoint::kCompletions, false);
+  if (!read.body) return Turn(connection, 400);
+
+  Job job;
+  job.prompt = PromptKey(body);
+  job.chat = chat;
+  job.usage = options_.speech == Speech::kPlatform || read.body->include_usage;
+  job.prompt_tokens = read.body->prompt_chars / kBytesPerToken + 1;
+  job.tokens = options_.tokens;
+  if (read.body->max_tokens) {
+    job.max_tokens = *read.body->max_tokens;
+    job.tokens = std::min(job.tokens, static_cast<std::size_t>(job.max_tokens));
+  }
+  job.fault = MarkIn(body);
+  if (job.fault == Fault::kNone) job.fault = options_.fault;
+  ++witness_->attempts;
+  const int before = witness_->seen[job.prompt]++;
+  if (witness_->running[job.prompt]++ > 0) ++witness_->two_at_once;
+  const Fault once = job.fault;
+  if (once == Fault::kResetOnce) job.fault = before == 0 ? Fault::kResetBefore : Fault::kNone;
+  if (once == Fault::kBusyOnce) job.fault = before == 0 ? Fault::kBusy : Fault::kNone;
+  if (once == Fault::kErrorOnce) job.fault = before == 0 ? Fault::kError : Fault::kNone;
+  const bool full = static_cast<int>(waiting_.size()) >= options_.queue;
+  jobs_[connection] = job;
+  if (job.fault == Fault::kBusy || full) {
+    End(connection);
+    return Turn(connection, 429);
+  }
+  if (job.fault == Fault::kError || job.fault == Fault::kBadRequest) {
+    End(connection);
+    return Turn(connection, job.fault == Fault::kError ? 500 : 400);
+  }
+  if (job.fault == Fault::kResetBefore) {
+    End(connection);
+    return server_.Abort(connection);
+  }
+  if (job.fault == Fault::kSilent) return;
+  waiting_.push_back(connection);
+  Next();
+}
+
+void StandIn::OnGone(Handle connection) { End(connection); }
+
+void StandIn::End(Handle connection) {
+  const auto it = jobs_.find(connection);
+  if (it == jobs_.end()) return;
+  run_->deadlines->Cancel(it->second.next);
+  --witness_->running[it->second.prompt];
+  if (it->second.running) {
+    --running_;
+  } else {
+    std::erase(waiting_, connection);
+  }
+  jobs_.erase(it);
+  Next();
+}
+
+void StandIn::Next() {
+  while (running_ < options_.batch && !waiting_.empty()) {
+    const Handle connection = waiting_.front();
+    waiting_.pop_front();
+    Job& job = jobs_.at(connection);
+    job.running = true;
+    ++running_;
+    job.next = run_->deadlines->Set(Now() + options_.first_token, [this, connection] { Start(connection); });
+  }
+}
+
+void StandIn::Start(Handle connection) {
+  Job& job = jobs_.at(connection);
+  job.begun = true;
+  server_.BeginChunks(connection, "Content-Type: text/event-stream\r\n");
+  if (options_.speech == Speech::kOpenAi) server_.Chunk(connection, ": stand-in\n\n");
+  if (job.fault == Fault::kErrorFirst) {
+    server_.Chunk(connection,
+                  "data: {\"error\":{\"message\":\"stand-in failed\",\"type\":\"stand_in\"}}\n\n");
+    End(connection);
+    return server_.EndChunks(connection);
+  }
+  Step(connection);
+}
+
+std::string StandIn::Event(const Job& job, const std::string& text, bool last) const {
+  const std::string head =
+      options_.speech == Speech::kPlatform
+          ? ""
+          : fmt::format(
+                "\"id\":\"{}-{:016x}\",\"object\":\"{}\",\"created\":1700000000,\"model\":\"stand-in\",",
+                job.chat ? "chatcmpl" : "cmpl", job.prompt,
+                job.chat ? "chat.completion.chunk" : "text_completion");
+  const std::string piece = job.chat || options_.speech == Speech::kPlatform
+                                ? fmt::format("\"delta\":{{\"content\":{}}}", openai::Quoted(text))
+                                : fmt::format("\"text\":{}", openai::Quoted(text));
+  return fmt::format("data: {{{}\"choices\":[{{\"index\":0,{},\"finish_reason\":{}}}]}}\n\n", head, piece,
+                     last ? "\"stop\"" : "null");
+}
+
+void StandIn::Step(Handle connection) {
+  Job& job = jobs_.at(connection);
+  const bool middle = job.given * 2 >= job.tokens;
+  if (middle && job.given > 0) {
+    if (job.fault == Fault::kBreak) {
+      End(connection);
+      return server_.Abort(connection);
+    }
+    if (job.fault == Fault::kStall) return;
+    if (job.fault == Fault::kErrorEvent) {
+      server_.Chunk(connection,
+                    "data: {\"error\":{\"message\":\"stand-in failed\",\"type\":\"stand_in\"}}\n\n");
+      End(connection);
+      return server_.EndChunks(connection);
+    }
+  }
+  std::string text;
+  const std::size_t to =
+      std::min(job.tokens, job.given + static_cast<std::size_t>(options_.tokens_per_event));
+  const Time spent = static_cast<Time>(to - job.given) * options_.per_token;
+  for (; job.given < to; ++job.given) text += Token(job.prompt, options_.seed, job.given);
+  const bool last = job.given >= job.tokens;
+  server_.Chunk(connection, Event(job, text, last));
+  job.next = run_->deadlines->Set(Now() + spent,
+                                  [this, connection, last] { last ? Finish(connection) : Step(connection); });
+}
+
+std::string StandIn::Usage(const Job& job) const {
+  const std::size_t p = job.prompt_tokens, a = job.given;
+  std::string answer = std::to_string(a), total = std::to_string(p + a), extra;
+  if (job.fault == Fault::kUsageNegative) answer = "-" + answer;
+  if (job.fault == Fault::kUsageFractional) answer += ".5";
+  if (job.fault == Fault::kUsageHuge) answer = "99999999999999";
+  if (job.fault == Fault::kUsageString) answer = "\"" + answer + "\"";
+  if (job.fault == Fault::kUsageTwice) extra = ",\"completion_tokens\":1";
+  if (job.fault == Fault::kUsageTotal) total = std::to_string(p + a + 7);
+  if (job.fault == Fault::kUsageOverLimit) {
+    answer = std::to_string(static_cast<std::size_t>(job.max_tokens) + 1000);
+    total = std::to_string(p + static_cast<std::size_t>(job.max_tokens) + 1000);
+  }
+  if (job.fault == Fault::kUsageContradicts) {
+    answer = "0";
+    total = std::to_string(p);
+  }
+  return fmt::format(
+      "data: {{\"choices\":[],\"usage\":{{\"prompt_tokens\":{},\"completion_tokens\":{},\"total_tokens\":{},"
+      "\"prompt_tokens_details\":{{\"cached_tokens\":{}}}{}}}}}\n\n",
+      p, answer, total, p / 2, extra);
+}
+
+void StandIn::Finish(Handle connection) {
+  const Job job = jobs_.at(connection);
+  ++served_;
+  End(connection);
+  if (job.usage && job.fault != Fault::kNoUsage) server_.Chunk(connection, Usage(job));
+  if (job.fault != Fault::kNoDone) server_.Chunk(connection, "data: [DONE]\n\n");
+  server_.EndChunks(connection);
+}
+
+}  // namespace ryeglade::lab
--- /dev/null
+++ b/lab/stand_in.h
@@ -0,0 +1,81 @@
+// A stand-in for a model replica on loopback. It answers in the platform's protocol and in the OpenAI-style
+// API, with a text that is a fixed function of the prompt, at a set speed and batch size, and does wrong what
+// it is told to.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+#include "base/runtime.h"
+#include "http/downstream.h"
+#include "lab/fault.h"
+
+namespace ryeglade::lab {
+
+enum class Speech : std::uint8_t { kPlatform, kOpenAi };
+
+struct StandInOptions {
+  Speech speech = Speech::kOpenAi;
+  std::uint64_t seed = 1;
+  Time first_token = 20'000;  // microseconds, once it is its turn
+  Time per_token = 2'000;
+  int tokens_per_event = 4;
+  int batch = 16;              // answered side by side
+  int queue = 32;              // waiting beyond that; more is turned away
+  Fault fault = Fault::kNone;  // of every request that has no mark of its own
+  std::size_t tokens = 64;     // of an answer whose request sets no max_tokens
+};
+
+// What all stand-ins of one test saw together, and the rules that they check.
+struct Witness {
+  std::unordered_map<std::uint64_t, int> seen;     // attempts of each prompt
+  std::unordered_map<std::uint64_t, int> running;  // of them out now
+  std::uint64_t attempts = 0;
+  std::uint64_t two_at_once = 0;  // a broken rule
+};
+
+class StandIn : public Front {
+ public:
+  StandIn(const Runtime* run, Witness* witness, StandInOptions options);
+  std::string Listen();  // its ip:port
+  void Close() { server_.Close(); }
+  std::uint64_t served() const { return served_; }
+
+  void OnRequest(Handle connection, HttpRequest request) override;
+  void OnGone(Handle connection) override;
+  void OnFlow(Handle, bool) override {}
+
+ private:
+  struct Job {
+    std::uint64_t prompt = 0;
+    std::size_t tokens = 0, given = 0;
+    std::size_t prompt_tokens = 0;
+    bool chat = true, usage = false, begun = false, running = false;
+    double max_tokens = 0;
+    Fault fault = Fault::kNone;
+    DeadlineId next{};
+  };
+
+  void Next();
+  void Start(Handle connection);
+  void Step(Handle connection);
+  void Finish(Handle connection);
+  void End(Handle connection);  // out of the table; the next one's turn
+  void Turn(Handle connection, int status);
+  std::string Event(const Job& job, const std::string& text, bool last) const;
+  std::string Usage(const Job& job) const;
+
+  const Runtime* run_;
+  Witness* witness_;
+  StandInOptions options_;
+  Downstream server_;
+  std::map<Handle, Job> jobs_;
+  std::deque<Handle> waiting_;
+  int running_ = 0;
+  std::uint64_t served_ = 0;
+};
+
+}  // namespace ryeglade::lab
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -2,7 +2,11 @@
 
 #include <uv.h>
 
+#include <algorithm>
 #include <csignal>
+#include <cstddef>
+#include <memory>
+#include <string>
 
 #include "base/buffers.h"
 #include "base/deadlines.h"
@@ -12,9 +16,13 @@
 #include "core/discovery.h"
 #include "core/streams.h"
 #include "core/upstream.h"
+#include "dialects/openai/openai_dialect.h"
 #include "dialects/platform/platform_dialect.h"
+#include "fronts/openai/openai_front.h"
 #include "fronts/platform/platform_front.h"
 #include "http/downstream.h"
+#include "ledger/ledger_file.h"
+#include "settings/toml_reader.h"
 
 namespace ryeglade {
 namespace {
@@ -27,12 +35,14 @@
 
 class Node {
  public:
-  explicit Node(const Config& config)
-      : buffers_(config.memory_mb * 1024 * 1024 / 2),
+  Node(const Config& config, const EdgeSettings& settings)
+      : settings_(settings),
+        buffers_(config.memory_mb * 1024 * 1024 / 2),
         deadlines_(Loop()),
+        dialect_(MakeDialect(config, settings)),
         core_{{&loop_, &deadlines_, &buffers_},
               &config,
-              &dialect_,
+              dialect_.get(),
               &decisions_,
               &streams_,
               &streams_,
@@ -40,15 +50,16 @@
               &upstream_,
               &upstream_,
               &discovery_},
-        dialect_(!config.settings.load_fields.empty()),
         streams_(&core_),
         upstream_(&core_, Share(config) * 45 / 100),
         discovery_(&core_),
         decisions_(&core_),
         front_(&core_, &streams_),
-        downstream_(&core_, &front_,
-                    {.listen = config.listen, .most_sockets = Share(config) * 55 / 100, .admits = {}}) {
+        downstream_(
+            &core_, &front_,
+            {.listen = config.listen, .most_sockets = ClientSockets(config, settings), .admits = {}}) {
     front_.Use(&downstream_);
+    if (settings_.openai.on) SetUpOpenAi(config);
   }
 
   void Run() {
@@ -58,15 +69,21 @@
     std::string listen;
     try {
       listen = downstream_.Listen();
+      if (openai_ != nullptr) {
+        const std::string at = openai_down_->Listen();
+        Log(Level::kInfo, "listening-openai", {{"addr", at}, {"models", settings_.openai.models.size()}});
+        KeepLedger();
+      }
     } catch (const std::runtime_error&) {
       Stop();  // the loop's handles must be closed before it can go
       End();
       throw;
     }
-    Log("listening addr=%s name=%s", listen.c_str(), core_.config->name.c_str());
+    Log(Level::kInfo, "listening", {{"addr", listen}, {"name", core_.config->name}});
     discovery_.Known(core_.config->known);
     End();
-    Log("stopped");
+    if (openai_ != nullptr) ledger_file_->WriteNow(LedgerText());
+    Log(Level::kInfo, "stopped");
   }
 
  private:
@@ -75,6 +92,57 @@
     uv_loop_close(&loop_);
   }
 
+  static std::unique_ptr<Dialect> MakeDialect(const Config& config, const EdgeSettings& settings) {
+    if (settings.dialect != "openai") {
+      return std::make_unique<PlatformDialect>(!config.settings.load_fields.empty());
+    }
+    std::string key;
+    if (!settings.upstream_key_file.empty()) {
+      key = ReadWholeFile(settings.upstream_key_file);
+      key = key.substr(0, key.find_first_of("\r\n"));
+    }
+    return std::make_unique<OpenAiDialect>(std::move(key));
+  }
+
+  // With two fronts each has half of what clients get.
+  static std::size_t ClientSockets(const Config& config, const EdgeSettings& settings) {
+    return Share(config) * 55 / 100 / (settings.openai.on ? 2 : 1);
+  }
+
+  void SetUpOpenAi(const Config& config) {
+    const OpenAiSettings& o = settings_.openai;
+    openai_ = std::make_unique<OpenAiFront>(&core_, &streams_, &o);
+    for (const std::string& network : o.networks) openai_networks_.Add(network);
+    Downstream::Options options;
+    options.listen = o.listen;
+    options.most_sockets = ClientSockets(config, settings_);
+    options.most_body = o.most_body;
+    options.read_within = o.read_within;
+    if (!o.networks.empty()) {
+      options.admits = [this](const sockaddr_storage& peer) { return openai_networks_.Contains(peer); };
+    }
+    openai_down_ = std::make_unique<Downstream>(&core_, openai_.get(), std::move(options));
+    openai_->Use(openai_down_.get());
+    ledger_file_ = std::make_unique<ledger::LedgerFile>(&loop_, o.ledger_dir, config.name);
+  }
+
+  std::string LedgerText() const {
+    return ledger::ToJson(openai_->ledger(), core_.config->name, Now() / 1000);
+  }
+
+  void KeepLedger() {
+    if (!ledger_file_->on()) return;
+    deadlines_.Set(Now() + settings_.openai.ledger_every, [this] {
+      ledger_file_->Write(LedgerText());
+      KeepLedger();
+    });
+  }
+
+  std::size_t clients() const { return downstream_.size() + (openai_ != nullptr ? openai_down_->size() : 0); }
+  Time last_arrival() const {
+    return std::max(downstream_.last_arrival(), openai_ != nullptr ? openai_down_->last_arrival() : 0);
+  }
+
   static std::size_t Share(const Config& config) {
     return config.sockets - kOwnSockets - Discovery::kSockets;
   }
@@ -101,19 +169,27 @@
     try {
       const Config now = ReloadConfig(*core_.config);
       const std::string later = NeedsRestart(*core_.config, now);
-      Log("reloaded discovery=%s", now.discovery.c_str());
-      if (!later.empty()) Log("reload-needs-restart what=%s", later.c_str());
+      Log(Level::kInfo, "reloaded", {{"discovery", now.discovery}});
+      if (!later.empty()) Log(Level::kWarn, "reload-needs-restart", {{"what", later}});
       discovery_.MoveTo(now.discovery);
-    } catch (const ConfigError& e) {
-      Log("reload-failed why=%s", e.what());
+      if (!settings_.source.empty()) {
+        // Checked, so that a slip shows now and not at the next start.
+        std::vector<std::string> classes;
+        for (const auto& c : core_.config->settings.classes) classes.push_back(c.name);
+        LoadEdgeSettings(settings_.source, classes);
+      }
+      if (openai_ != nullptr) openai_->ReloadKeys();
+    } catch (const std::runtime_error& e) {
+      Log(Level::kError, "reload-failed", {{"why", e.what()}});
     }
   }
 
   void Drain() {
     if (downstream_.draining()) return;
-    Log("draining streams=%zu clients=%zu", streams_.size(), downstream_.size());
+    Log(Level::kInfo, "draining", {{"streams", streams_.size()}, {"clients", clients()}});
     drain_began_ = Now();
     downstream_.Drain();
+    if (openai_ != nullptr) openai_down_->Drain();
     streams_.EndBy(drain_began_ + kAnswerBy);
     Tick();
   }
@@ -124,7 +200,8 @@
     const Time now = Now();
     if (now - drain_began_ >= kServeOn) {
       downstream_.CloseIdle();
-      if (downstream_.size() == 0 && streams_.size() == 0 && now - downstream_.last_arrival() >= kQuiet) {
+      if (openai_ != nullptr) openai_down_->CloseIdle();
+      if (clients() == 0 && streams_.size() == 0 && now - last_arrival() >= kQuiet) {
         return Stop();
       }
     }
@@ -133,6 +210,7 @@
 
   void Stop() {
     downstream_.Close();
+    if (openai_ != nullptr) openai_down_->Close();
     upstream_.Close();
     discovery_.Close();
     deadlines_.Close();
@@ -141,26 +219,42 @@
     uv_close(reinterpret_cast<uv_handle_t*>(&hup_), nullptr);
   }
 
+  EdgeSettings settings_;
   uv_loop_t loop_{};
   Buffers buffers_;
   Deadlines deadlines_;
+  std::unique_ptr<Dialect> dialect_;
   Core core_;
-  PlatformDialect dialect_;
   Streams streams_;
   Upstream upstream_;
   Discovery discovery_;
   Decisions decisions_;
   PlatformFront front_;
   Downstream downstream_;
+  // Only where the settings ask for it.
+  limits::Networks openai_networks_;
+  std::unique_ptr<OpenAiFront> openai_;
+  std::unique_ptr<Downstream> openai_down_;
+  std::unique_ptr<ledger::LedgerFile> ledger_file_;
   uv_signal_t term_{}, int_{}, hup_{};
   Time drain_began_ = 0;
 };
 
 }  // namespace
 
-void Serve(const Config& config) {
+void Serve(const Config& config, const EdgeSettings& settings) {
   std::signal(SIGPIPE, SIG_IGN);
-  Node(config).Run();
+  LogOptions log;
+  log.json = settings.log_format == "json";
+  log.lines_per_second = settings.log_lines;
+  for (const auto& [word, level] : {std::pair{"debug", Level::kDebug},
+                                    {"info", Level::kInfo},
+                                    {"warn", Level::kWarn},
+                                    {"error", Level::kError}}) {
+    if (settings.log_level == word) log.level = level;
+  }
+  SetUpLog(log);
+  Node(config, settings).Run();
 }
 
 }  // namespace ryeglade
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -2,10 +2,11 @@
 #pragma once
 
 #include "settings/config.h"
+#include "settings/edge_settings.h"
 
 namespace ryeglade {
 
-// Serves until SIGTERM or SIGINT has been obeyed. Throws ConfigError if it cannot start.
-void Serve(const Config& config);
+// Serves until SIGTERM or SIGINT has been obeyed. Throws std::runtime_error if it cannot start.
+void Serve(const Config& config, const EdgeSettings& settings = {});
 
 }  // namespace ryeglade
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,53 +1,153 @@
 #include "base/log.h"
 
+#include <fmt/format.h>
 #include <poll.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/formatter.h>
+#include <spdlog/logger.h>
+#include <spdlog/sinks/base_sink.h>
 #include <unistd.h>
 
 #include <algorithm>
-#include <array>
-#include <cstdarg>
-#include <cstdio>
+#include <memory>
 #include <utility>
 
 #include "base/deadlines.h"
 
 namespace ryeglade {
+namespace {
 
-constexpr int kMostPerSecond = 300;
+constexpr std::size_t kMostLine = 1024;  // a pipe that is writable takes a whole line of this size
+constexpr std::string_view kLevels[] = {"debug", "info", "warn", "error"};
 
-void Log(const char* format, ...) {
-  // Guards against a reader of the log that stalls: the node must not wait for it. A pipe that is writable
-  // takes a whole line of this size.
-  static unsigned long long dropped = 0;
-  // Guards against clients who make the node write more than it serves.
-  static Time second = 0;
-  static int lines = 0;
-  if (Now() / 1'000'000 != second) {
-    second = Now() / 1'000'000;
-    lines = 0;
+// Guards against a reader of the log that stalls: the node must not wait for it.
+class NeverWaits : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+ public:
+  std::uint64_t dropped = 0;
+
+ protected:
+  void sink_it_(const spdlog::details::log_msg& msg) override {
+    pollfd room{STDERR_FILENO, POLLOUT, 0};
+    if (poll(&room, 1, 0) != 1 || (room.revents & POLLOUT) == 0) {
+      ++dropped;
+      return;
+    }
+    spdlog::memory_buf_t line;
+    formatter_->format(msg, line);
+    if (write(STDERR_FILENO, line.data(), line.size()) < 0) ++dropped;
   }
-  if (++lines > kMostPerSecond) {
-    ++dropped;
-    return;
+  void flush_() override {}
+};
+
+// The line is built where the fields are known; here it only gets its end.
+class AsItIs : public spdlog::formatter {
+ public:
+  void format(const spdlog::details::log_msg& msg, spdlog::memory_buf_t& to) override {
+    const std::size_t n = std::min(msg.payload.size(), kMostLine - 1);
+    to.append(msg.payload.data(), msg.payload.data() + n);
+    to.push_back('\n');
+  }
+  std::unique_ptr<spdlog::formatter> clone() const override { return std::make_unique<AsItIs>(); }
+};
+
+struct State {
+  LogOptions options;
+  std::shared_ptr<NeverWaits> sink = std::make_shared<NeverWaits>();
+  spdlog::logger logger{"ryeglade", sink};
+  Time second = 0;
+  int lines = 0;
+  State() {
+    sink->set_formatter(std::make_unique<AsItIs>());
+    logger.set_level(spdlog::level::trace);
+  }
+};
+
+State& Get() {
+  static State state;
+  return state;
+}
+
+void Quote(fmt::memory_buffer& out, std::string_view text) {
+  out.push_back('"');
+  for (const char c : text) {
+    if (c == '"' || c == '\\') {
+      out.push_back('\\');
+      out.push_back(c);
+    } else if (static_cast<unsigned char>(c) < 0x20 || c == 0x7f) {
+      fmt::format_to(std::back_inserter(out), "\\u{:04x}", static_cast<unsigned char>(c));
+    } else {
+      out.push_back(c);
+    }
+  }
+  out.push_back('"');
+}
+
+void Put(fmt::memory_buffer& out, const LogField::Value& value, bool json) {
+  std::visit(
+      [&](const auto& v) {
+        if constexpr (std::is_same_v<std::decay_t<decltype(v)>, std::string_view>) {
+          // Guards against clients who write lines of their own into the log.
+          const bool plain = !json && !v.empty() && std::all_of(v.begin(), v.end(), [](unsigned char c) {
+            return c > 0x20 && c != '"' && c != '=' && c != '\\' && c != 0x7f;
+          });
+          const std::string_view shown = v.substr(0, kMostLine / 2);
+          if (plain) {
+            out.append(shown.data(), shown.data() + shown.size());
+          } else {
+            Quote(out, shown);
+          }
+        } else {
+          fmt::format_to(std::back_inserter(out), "{}", v);
+        }
+      },
+      value);
+}
+
+}  // namespace
+
+std::string Hex8(std::uint32_t value) { return fmt::format("{:08x}", value); }
+
+void SetUpLog(const LogOptions& options) { Get().options = options; }
+
+void Log(Level level, std::string_view event, std::initializer_list<LogField> fields) {
+  State& state = Get();
+  if (level < state.options.level) return;
+  // Guards against clients who make the node write more than it serves.
+  const Time now = Now();
+  if (now / 1'000'000 != state.second) {
+    state.second = now / 1'000'000;
+    state.lines = 0;
   }
-  pollfd room{STDERR_FILENO, POLLOUT, 0};
-  if (poll(&room, 1, 0) != 1 || (room.revents & POLLOUT) == 0) {
-    ++dropped;
+  if (++state.lines > state.options.lines_per_second) {
+    ++state.sink->dropped;
     return;
   }
-  std::array<char, 512> line{};
-  int n = std::snprintf(line.data(), line.size(), "%lld ", static_cast<long long>(Now() / 1000));
-  if (dropped > 0) {
-    n += std::snprintf(line.data() + n, line.size() - static_cast<std::size_t>(n), "(%llu lines dropped) ",
-                       std::exchange(dropped, 0));
+  const bool json = state.options.json;
+  fmt::memory_buffer line;
+  const auto put = [&](std::string_view name, const LogField::Value& value) {
+    if (line.size() > 0) line.push_back(json ? ',' : ' ');
+    if (json) {
+      Quote(line, name);
+      line.push_back(':');
+    } else {
+      line.append(name.data(), name.data() + name.size());
+      line.push_back('=');
+    }
+    Put(line, value, json);
+  };
+  put("ts", now / 1000);
+  put("level", kLevels[static_cast<std::size_t>(level)]);
+  if (state.sink->dropped > 0) put("dropped", std::exchange(state.sink->dropped, 0));
+  put("event", event);
+  for (const LogField& f : fields) put(f.name, f.value);
+  const std::string_view text(line.data(), line.size());
+  // A line over the bound is cut, but a JSON line stays one object.
+  if (json) {
+    const bool fits = text.size() + 3 <= kMostLine;
+    state.logger.info("{{{}}}", fits ? text : "\"event\":\"log-line-too-long\"");
+  } else {
+    state.logger.info("{}", text);
   }
-  va_list args;
-  va_start(args, format);
-  n += std::vsnprintf(line.data() + n, line.size() - static_cast<std::size_t>(n), format, args);
-  va_end(args);
-  const auto end = std::min(static_cast<std::size_t>(n), line.size() - 2);
-  line.at(end) = '\n';
-  if (write(STDERR_FILENO, line.data(), end + 1) < 0) ++dropped;
 }
 
 }  // namespace ryeglade
--- a/src/core/discovery.cpp
+++ b/src/core/discovery.cpp
@@ -92,7 +92,8 @@
 void Discovery::Failed(Handle handle, const char* why) {
   const Call* c = calls_.Get(handle);
   if (c == nullptr) return;
-  Log("discovery-failed call=%s why=%s status=%d", c->watch ? "watch" : "fetch", why, c->status);
+  Log(Level::kWarn, "discovery-failed",
+      {{"call", c->watch ? "watch" : "fetch"}, {"why", why}, {"status", c->status}});
   const bool move = c->move, old = handle == old_;
   if (handle == watch_) watch_ = 0;
   if (old) old_ = 0;
@@ -178,7 +179,7 @@
       c = calls_.Get(handle);  // what was told may have led to another call
       if (c == nullptr) return;
       if (!empty && !std::exchange(c->answered, true))
-        Log("watching generation=%llu", static_cast<unsigned long long>(generation_));
+        Log(Level::kInfo, "watching", {{"generation", static_cast<unsigned long long>(generation_)}});
     }
     c->text = text.substr(from);
     if (c->complete) Failed(handle, "ended");
@@ -229,7 +230,7 @@
   for (const json& entry : *instances) {
     const auto name = entry.is_object() ? entry.find("instanceId") : entry.end();
     if (name == entry.end() || !name->is_string()) {
-      Log("discovery-entry-skipped why=no-name");
+      Log(Level::kWarn, "discovery-entry-skipped", {{"why", "no-name"}});
       continue;
     }
     const auto text = [&](const char* key) {
@@ -252,7 +253,8 @@
     sockaddr_storage address{};
     const std::string host_port = text("hostPort");
     if (e.phase != Phase::kGone && !ParseAddress(host_port, &address)) {
-      Log("discovery-entry-skipped why=address name=%s", name->get_ref<const std::string&>().c_str());
+      Log(Level::kWarn, "discovery-entry-skipped",
+          {{"why", "address"}, {"name", name->get_ref<const std::string&>()}});
       continue;
     }
     e.id = IdOf(name->get<std::string>());
@@ -275,11 +277,13 @@
   }
   generation_ = generation->get<std::uint64_t>();
   if (scope != ListScope::kDelta || !told.entries.empty()) {
-    Log("list scope=%s generation=%llu entries=%zu hosts=%zu",
-        scope == ListScope::kDelta    ? "delta"
-        : scope == ListScope::kCached ? "cached"
-                                      : "full",
-        static_cast<unsigned long long>(generation_), told.entries.size(), hosts_.size());
+    Log(Level::kInfo, "list",
+        {{"scope", scope == ListScope::kDelta    ? "delta"
+                   : scope == ListScope::kCached ? "cached"
+                                                 : "full"},
+         {"generation", static_cast<unsigned long long>(generation_)},
+         {"entries", told.entries.size()},
+         {"hosts", hosts_.size()}});
   }
   core_->events->Post(std::move(told));
   for (const ReplicaId id : left) {
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -64,14 +64,14 @@
     if (moved++ == kMoveAtOnce) break;
     Move(handle);
   }
-  if (moved > 0) Log("moving streams=%zu", table_.size());
+  if (moved > 0) Log(Level::kInfo, "moving", {{"streams", table_.size()}});
   core_->deadlines->Set(Now() + kMoveEvery, [this] { MoveOn(); });
 }
 
 void Streams::Guard(Handle handle) {
   const Stream* s = table_.Get(handle);
   if (s == nullptr || s->started) return;
-  Log("guard-reply id=%s", s->request.call_id.c_str());
+  Log(Level::kError, "guard-reply", {{"id", s->request.call_id}});
   core_->events->Post(policy::ClientGone{handle});  // to the module it is over
   Refuse(handle, kGuardRetryAfter);
 }
@@ -80,7 +80,7 @@
   Handle client = 0;
   const Stream* s = table_.Get(handle);
   if (s == nullptr) return;
-  Log("client-gone id=%s started=%d", s->request.call_id.c_str(), s->started ? 1 : 0);
+  Log(Level::kInfo, "client-gone", {{"id", s->request.call_id}, {"started", s->started ? 1 : 0}});
   core_->events->Post(policy::ClientGone{handle});
   End(handle, &client);
 }
--- a/src/core/upstream.cpp
+++ b/src/core/upstream.cpp
@@ -65,7 +65,7 @@
 void Upstream::SetHost(ReplicaId id, const std::string& host_port) {
   Host& host = hosts_[id];
   if (host.host_port == host_port) return;
-  if (!host.host_port.empty()) Log("host-moved replica=%08x to=%s", id, host_port.c_str());
+  if (!host.host_port.empty()) Log(Level::kInfo, "host-moved", {{"replica", Hex8(id)}, {"to", host_port}});
   const std::vector<Handle> idle = std::exchange(host.idle, {});
   for (const Handle c : idle) Drop(c);
   host.host_port = host_port;
@@ -197,7 +197,7 @@
   const bool room = MakeRoom();
   r.connection = Connect(r.replica, handle);
   if (r.connection != 0) return;
-  if (!room) Log("no-socket replica=%08x", r.replica);
+  if (!room) Log(Level::kWarn, "no-socket", {{"replica", Hex8(r.replica)}});
   Finish(handle, room ? Outcome::kConnectFailed : Outcome::kNotSent);
 }
 
@@ -417,7 +417,7 @@
   const Time now = Now();
   if (r->paused) r->last_byte = now;  // it is the client that keeps it silent
   if (now - r->last_byte >= kSilence) {
-    Log("silent replica=%08x after_ms=%lld", r->replica, static_cast<long long>((now - r->last_byte) / 1000));
+    Log(Level::kWarn, "silent", {{"replica", Hex8(r->replica)}, {"after_ms", (now - r->last_byte) / 1000}});
     return Finish(handle, Outcome::kReset);
   }
   r->deadline = core_->deadlines->Set(r->last_byte + kSilence, [this, handle] { Silence(handle); });
@@ -449,7 +449,7 @@
   const Connection& c = *connections_.Get(r.connection);
   const int status = c.response.status;
   const std::string body = c.response.reader->error_body();
-  Log("attempt-rejected replica=%08x status=%d", r.replica, status);
+  Log(Level::kWarn, "attempt-rejected", {{"replica", Hex8(r.replica)}, {"status", status}});
   // The attempt first: closing it comes before anything else can be sent for its stream.
   rejecting_ = true;
   Finish(handle, Outcome::kCancelled);
@@ -483,9 +483,13 @@
   Stream* s = core_->answers->Get(r.stream);
   ended.request_concluded = s == nullptr || r.started || rejecting_ || outcome == Outcome::kServed;
   if (outcome != Outcome::kServed && outcome != Outcome::kCancelled) {
-    Log("attempt-ended id=%s n=%d replica=%08x outcome=%s started=%d ms=%lld",
-        s != nullptr ? s->request.call_id.c_str() : "-", r.attempt, r.replica, Name(outcome),
-        r.started ? 1 : 0, static_cast<long long>(ended.elapsed / 1000));
+    Log(Level::kWarn, "attempt-ended",
+        {{"id", s != nullptr ? s->request.call_id.c_str() : "-"},
+         {"n", r.attempt},
+         {"replica", Hex8(r.replica)},
+         {"outcome", Name(outcome)},
+         {"started", r.started ? 1 : 0},
+         {"ms", ended.elapsed / 1000}});
   }
   if (s != nullptr) {
     s->upstream_request = 0;
--- /dev/null
+++ b/src/dialects/openai/openai_dialect.cpp
@@ -0,0 +1,162 @@
+#include "dialects/openai/openai_dialect.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+#include "core/streams.h"
+#include "http/event_stream.h"
+#include "openai/body.h"
+
+namespace ryeglade {
+namespace {
+
+using policy::Outcome;
+using policy::Time;
+
+constexpr std::size_t kMostEvent = std::size_t{256} * 1024;
+constexpr std::size_t kMostErrorBody = std::size_t{16} * 1024;
+constexpr double kMostWait = 3600;  // seconds
+
+// Whether the event's JSON tells of an error: a member `error` of its outermost object that is not null, or
+// the object kind "error". Text of an answer can't fool it: quotes are escaped there.
+bool TellsError(std::string_view data) {
+  static constexpr std::string_view kName = "\"error\"";
+  std::size_t at = data.find(kName);
+  if (at == std::string_view::npos) return false;
+  int depth = 0;
+  bool string = false;
+  std::string_view key;  // of the outermost object, the last one read
+  for (std::size_t i = 0, from = 0; i < data.size(); ++i) {
+    const char c = data[i];
+    if (string) {
+      if (c == '\\') ++i;
+      if (c != '"') continue;
+      string = false;
+      if (depth != 1) continue;
+      const std::string_view word = data.substr(from, i + 1 - from);
+      std::size_t next = i + 1;
+      while (next < data.size() && data[next] == ' ') ++next;
+      const bool is_key = next < data.size() && data[next] == ':';
+      if (!is_key && word == kName && key == "\"object\"") return true;
+      if (!is_key) continue;
+      key = word;
+      if (word != kName) continue;
+      for (++next; next < data.size() && data[next] == ' ';) ++next;
+      return data.substr(next, 4) != "null";
+    }
+    if (c == '"') {
+      string = true;
+      from = i;
+    }
+    if (c == '{' || c == '[') ++depth;
+    if (c == '}' || c == ']') --depth;
+  }
+  return false;
+}
+
+class Reader : public AnswerReader {
+ public:
+  void OnHeader(const std::string& name, const std::string& value) override {
+    if (strcasecmp(name.c_str(), "retry-after") == 0) retry_after_ = ReadRetryAfter(value);
+    if (strcasecmp(name.c_str(), "retry-after-ms") == 0) retry_after_ = ReadRetryAfter(value) / 1000;
+    if (strcasecmp(name.c_str(), "x-load-report") == 0) report_ = value;
+  }
+
+  void OnBytes(std::string_view body) override {
+    if (opened_) return;
+    error_body_.append(body.substr(0, kMostErrorBody - std::min(kMostErrorBody, error_body_.size())));
+  }
+
+  Body OnEvents(std::string_view body) override {
+    bool progress = false;
+    const bool good = events_.Feed(body, [&](const EventStream::Event& e) {
+      if (!e.has_data) return true;
+      if (e.type == "error" || TellsError(e.data)) return false;
+      if (done_) return false;  // nothing comes behind [DONE]
+      done_ = e.data == "[DONE]";
+      progress = opened_ = true;
+      const std::size_t kept = e.data.rfind("\"cached_tokens\"");
+      if (kept != std::string_view::npos) {
+        std::size_t at = kept + 15;
+        while (at < e.data.size() && (e.data[at] == ' ' || e.data[at] == ':')) ++at;
+        double tokens = 0;
+        std::from_chars(e.data.data() + at, e.data.data() + e.data.size(), tokens);
+        kept_ = std::isfinite(tokens) && tokens > 0 ? tokens : 0;
+      }
+      return true;
+    });
+    if (!good) return Body::kSpoilt;
+    // A part of a long event is progress too; a part of a comment is not.
+    if (!events_.unfinished().empty() && events_.unfinished().front() != ':') progress = true;
+    if (opened_) error_body_ = {};
+    return progress ? Body::kEvents : Body::kIdle;
+  }
+
+  bool opened() const override { return opened_; }
+
+  AnswerEnd AtEnd(int status, bool probe) const override {
+    if (probe)
+      return {status == 200                    ? Outcome::kServed
+              : status == 503 || status == 429 ? Outcome::kFull
+                                               : Outcome::kError};
+    if (status == 200) {
+      if (!opened_) return {Outcome::kError};
+      return {done_ ? Outcome::kServed : Outcome::kReset};
+    }
+    if (status == 429 || status == 503) return {Outcome::kFull, false, retry_after_};
+    if (status == 400 || status == 404 || status == 413 || status == 422) return {Outcome::kError, true};
+    return {Outcome::kError, false, retry_after_};
+  }
+
+  AnswerNotes Notes(bool) const override { return {kept_, report_}; }
+  std::string error_body() const override { return error_body_; }
+
+ private:
+  EventStream events_{kMostEvent};
+  bool opened_ = false, done_ = false;
+  double kept_ = 0;
+  Time retry_after_ = 0;
+  std::string report_, error_body_;
+};
+
+}  // namespace
+
+Time ReadRetryAfter(const std::string& seconds) {
+  double value = 0;
+  const auto [end, error] = std::from_chars(seconds.data(), seconds.data() + seconds.size(), value);
+  if (error != std::errc() || end != seconds.data() + seconds.size() || !(value > 0)) return 0;
+  return static_cast<Time>(std::llround(std::min(value, kMostWait) * 1e6));
+}
+
+void OpenAiDialect::Prepare(StreamRequest& q) const {
+  if (q.prepared) return;
+  std::string text;
+  for (const std::string_view piece : q.body.Pieces()) text.append(piece);
+  const openai::Endpoint endpoint =
+      q.target.starts_with("/v1/completions") ? openai::Endpoint::kCompletions : openai::Endpoint::kChat;
+  const openai::BodyResult read = openai::ReadBody(text, endpoint, false);
+  if (!read.body) return;  // the replica will say what it thinks of it
+  const std::string changed = openai::ForReplica(text, read);
+  q.body.Clear();
+  q.body.Append(changed);
+  q.content_type = "application/json";
+}
+
+std::string OpenAiDialect::RequestHead(const StreamRequest& q, const std::string& host, Time) const {
+  return q.method + " " + q.target + " HTTP/1.1\r\nHost: " + host + "\r\nX-Request-Id: " + q.call_id +
+         "\r\nAccept: text/event-stream" + (api_key_.empty() ? "" : "\r\nAuthorization: Bearer " + api_key_) +
+         "\r\nContent-Type: " + (q.content_type.empty() ? "application/json" : q.content_type) +
+         "\r\nContent-Length: " + std::to_string(q.body.size()) + "\r\n\r\n";
+}
+
+std::string OpenAiDialect::ProbeHead(const std::string& host) const {
+  return "GET /v1/models HTTP/1.1\r\nHost: " + host +
+         (api_key_.empty() ? "" : "\r\nAuthorization: Bearer " + api_key_) + "\r\n\r\n";
+}
+
+std::unique_ptr<AnswerReader> OpenAiDialect::NewReader() const { return std::make_unique<Reader>(); }
+
+}  // namespace ryeglade
--- /dev/null
+++ b/src/fronts/openai/answer.cpp
@@ -0,0 +1,216 @@
+#include "fronts/openai/answer.h"
+
+#include <algorithm>
+#include <array>
+
+namespace ryeglade {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kMostDepth = 64;
+constexpr std::size_t kMostTools = 256;
+
+std::size_t SkipSpace(std::string_view text, std::size_t at) {
+  while (at < text.size() && (text[at] == ' ' || text[at] == ':')) ++at;
+  return at;
+}
+
+// Whether the event's `choices` is an empty list, as in the last chunk that only brings usage.
+bool NoChoices(std::string_view data) {
+  static constexpr std::string_view kName = "\"choices\"";
+  const std::size_t at = data.find(kName);
+  if (at == std::string_view::npos) return true;
+  std::size_t next = SkipSpace(data, at + kName.size());
+  if (next >= data.size() || data[next] != '[') return false;
+  for (++next; next < data.size() && data[next] == ' ';) ++next;
+  return next < data.size() && data[next] == ']';
+}
+
+}  // namespace
+
+std::size_t TextBytes(std::string_view data) {
+  static constexpr std::array<std::string_view, 6> kFields = {"content",   "text",    "arguments",
+                                                              "reasoning", "refusal", "reasoning_content"};
+  std::size_t bytes = 0;
+  for (std::size_t at = data.find('"'); at != std::string_view::npos;) {
+    // A string: a key, or a value whose key we know.
+    std::size_t end = at + 1, escapes = 0;
+    while (end < data.size() && data[end] != '"') {
+      if (data[end] == '\\') {
+        ++escapes;
+        ++end;
+      }
+      ++end;
+    }
+    if (end >= data.size()) return bytes;
+    const std::string_view key = data.substr(at + 1, end - at - 1);
+    at = end + 1;
+    while (at < data.size() && data[at] == ' ') ++at;
+    if (at < data.size() && data[at] == ':') {
+      const std::size_t value = SkipSpace(data, at);
+      if (value < data.size() && data[value] == '"' &&
+          std::find(kFields.begin(), kFields.end(), key) != kFields.end()) {
+        escapes = 0;
+        for (end = value + 1; end < data.size() && data[end] != '"'; ++end) {
+          if (data[end] != '\\') continue;
+          ++escapes;
+          ++end;
+        }
+        bytes += std::min(end, data.size()) - value - 1 - escapes;
+        at = end + 1;
+      } else {
+        at = value;
+        if (value < data.size() && data[value] == '"') {  // past the value of another key
+          for (end = value + 1; end < data.size() && data[end] != '"'; ++end) {
+            if (data[end] == '\\') ++end;
+          }
+          at = end + 1;
+        }
+      }
+    }
+    if (at >= data.size()) return bytes;
+    at = data.find('"', at);
+  }
+  return bytes;
+}
+
+bool AnswerWatch::Look(const EventStream::Event& e) {
+  if (!e.has_data) return true;
+  if (e.data == "[DONE]") {
+    done_.assign(e.raw);
+    return false;
+  }
+  if (const std::size_t bytes = TextBytes(e.data); bytes > 0) {
+    seen_.answer_chars += bytes;
+    ++seen_.text_events;
+  }
+  static constexpr std::string_view kUsage = "\"usage\"";
+  const std::size_t usage = e.data.rfind(kUsage);
+  if (usage == std::string_view::npos) return true;
+  const std::size_t value = SkipSpace(e.data, usage + kUsage.size());
+  if (e.data.substr(value, 4) == "null") return true;
+  if (!NoChoices(e.data)) {
+    running_usage_.assign(e.data);  // so far; the last one counts if no final one comes
+    return true;
+  }
+  usage_.assign(e.data);
+  ++usage_times_;
+  return usage_wanted_;
+}
+
+bool AnswerWatch::Feed(std::string_view bytes, std::string& out) {
+  return events_.Feed(bytes, [&](const EventStream::Event& e) {
+    if (Look(e)) out.append(e.raw);
+    return true;
+  });
+}
+
+// ---- Whole answers ----
+
+Assembler::Result Assembler::Feed(std::string_view bytes) {
+  taken_ += bytes.size();
+  if (taken_ > most_) return Result::kTooLong;
+  const bool good = events_.Feed(bytes, [&](const EventStream::Event& e) {
+    if (!e.has_data || e.data == "[DONE]") return true;
+    bool deep = false;
+    const json chunk = json::parse(
+        e.data,
+        [&](int depth, json::parse_event_t, json&) {
+          deep = deep || depth > kMostDepth;
+          return !deep;
+        },
+        false);
+    try {
+      return !deep && chunk.is_object() && Take(chunk);
+    } catch (const json::exception&) {  // a field of another kind than the API's
+      return false;
+    }
+  });
+  return good ? Result::kGoOn : Result::kUnreadable;
+}
+
+// Pieces of text are joined, lists too; objects are merged; tool calls go by their index; of all else the
+// last counts.
+void Assembler::Merge(json& into, const json& piece) {
+  for (const auto& [key, value] : piece.items()) {
+    json& have = into[key];
+    if (value.is_null()) continue;
+    // What names a thing comes once, or the same again.
+    const bool name = key == "id" || key == "type" || key == "role" || key == "object" || key == "model";
+    if (key == "tool_calls" && value.is_array()) {
+      if (!have.is_array()) have = json::array();
+      for (const json& call : value) {
+        if (!call.is_object()) continue;
+        const std::size_t index = call.value("index", have.size());
+        if (index >= kMostTools) continue;
+        while (have.size() <= index) have.push_back(json::object());
+        json rest = call;
+        rest.erase("index");
+        Merge(have[index], rest);
+      }
+    } else if (value.is_string() && have.is_string() && !name) {
+      have.get_ref<std::string&>() += value.get_ref<const std::string&>();
+    } else if (value.is_array() && have.is_array()) {
+      have.insert(have.end(), value.begin(), value.end());
+    } else if (value.is_object() && have.is_object()) {
+      Merge(have, value);
+    } else {
+      have = value;
+    }
+  }
+}
+
+bool Assembler::Take(const json& chunk) {
+  for (const auto& [key, value] : chunk.items()) {
+    if (key == "usage") {
+      if (value.is_object()) usage_ = value;
+    } else if (key != "choices" && !value.is_null()) {
+      top_[key] = value;
+    }
+  }
+  if (!chunk.contains("choices")) return true;
+  if (!chunk.at("choices").is_array()) return false;
+  for (const json& choice : chunk.at("choices")) {
+    if (!choice.is_object()) return false;
+    json rest = choice;
+    rest.erase("index");
+    if (rest.contains("delta")) {
+      if (!rest.at("delta").is_object()) return false;
+      Merge(message_, rest.at("delta"));
+      rest.erase("delta");
+    }
+    if (rest.contains("finish_reason")) {
+      if (!rest.at("finish_reason").is_null()) choice_["finish_reason"] = rest.at("finish_reason");
+      rest.erase("finish_reason");
+    }
+    Merge(choice_, rest);
+  }
+  return true;
+}
+
+std::string Assembler::Whole(const std::string& id, const std::string& model, std::int64_t created) const {
+  const bool chat = endpoint_ == openai::Endpoint::kChat;
+  json whole = top_;
+  if (!whole.contains("id")) whole["id"] = (chat ? "chatcmpl-" : "cmpl-") + id;
+  if (!whole.contains("created")) whole["created"] = created;
+  if (!whole.contains("model")) whole["model"] = model;
+  whole["object"] = chat ? "chat.completion" : "text_completion";
+  json choice = choice_;
+  choice["index"] = 0;
+  if (!choice.contains("finish_reason")) choice["finish_reason"] = nullptr;
+  if (!choice.contains("logprobs")) choice["logprobs"] = nullptr;
+  if (chat) {
+    json message = message_;
+    message["role"] = "assistant";
+    if (!message.contains("content")) message["content"] = nullptr;
+    choice["message"] = std::move(message);
+  } else if (!choice.contains("text")) {
+    choice["text"] = message_.contains("content") ? message_.at("content") : json("");
+  }
+  whole["choices"] = json::array({std::move(choice)});
+  if (usage_.is_object()) whole["usage"] = usage_;
+  return whole.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+}  // namespace ryeglade
--- /dev/null
+++ b/src/fronts/openai/metrics.cpp
@@ -0,0 +1,82 @@
+#include "fronts/openai/metrics.h"
+
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace ryeglade {
+namespace {
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+using Labels = std::vector<std::pair<std::string, std::string>>;
+
+void Add(MetricFamily& family, const Labels& labels, double value) {
+  ClientMetric metric;
+  for (const auto& [name, text] : labels) metric.label.push_back({name, text});
+  (family.type == MetricType::Counter ? metric.counter.value : metric.gauge.value) = value;
+  family.metric.push_back(std::move(metric));
+}
+
+MetricFamily Family(const char* name, const char* help, MetricType type) {
+  MetricFamily family;
+  family.name = name;
+  family.help = help;
+  family.type = type;
+  return family;
+}
+
+}  // namespace
+
+std::string MetricsText(const ledger::Ledger& ledger, std::size_t open, std::size_t assembling) {
+  MetricFamily ended =
+      Family("ryeglade_api_requests_total", "Requests admitted, by how they ended", MetricType::Counter);
+  MetricFamily tokens =
+      Family("ryeglade_api_tokens_total", "Tokens, by whose figure it is", MetricType::Counter);
+  MetricFamily faults =
+      Family("ryeglade_api_usage_faults_total", "Usage that was not believed", MetricType::Counter);
+  MetricFamily away =
+      Family("ryeglade_api_turned_away_total", "Requests turned away before admission", MetricType::Counter);
+  MetricFamily now = Family("ryeglade_api_open_requests", "Requests being answered", MetricType::Gauge);
+  MetricFamily held =
+      Family("ryeglade_api_assembling_bytes", "Bytes held for whole answers", MetricType::Gauge);
+  for (const auto& [id, row] : ledger.rows()) {
+    const Labels base = {{"key", id.first}, {"model", id.second}};
+    const auto with = [&](const char* name, const char* value) {
+      Labels labels = base;
+      labels.emplace_back(name, value);
+      return labels;
+    };
+    for (std::size_t i = 0; i < ledger::kColumns; ++i) {
+      Add(ended, with("outcome", ledger::Word(static_cast<ledger::Column>(i))),
+          static_cast<double>(row.ended.at(i)));
+    }
+    const auto spent = [&](const ledger::Tokens& t, const char* whose) {
+      for (const auto& [kind, value] :
+           {std::pair{"prompt", t.prompt}, {"kept", t.kept}, {"answer", t.answer}}) {
+        Labels labels = with("source", whose);
+        labels.emplace_back("kind", kind);
+        Add(tokens, labels, value);
+      }
+    };
+    spent(row.reported, "reported");
+    spent(row.estimated, "estimated");
+    for (std::size_t i = 0; i < ledger::kUsageFaults; ++i) {
+      if (row.usage_faults.at(i) == 0) continue;
+      Add(faults, with("fault", ledger::Word(static_cast<ledger::UsageFault>(i))),
+          static_cast<double>(row.usage_faults.at(i)));
+    }
+  }
+  for (const auto& [reason, count] : ledger.turned_away())
+    Add(away, {{"reason", reason}}, static_cast<double>(count));
+  Add(now, {}, static_cast<double>(open));
+  Add(held, {}, static_cast<double>(assembling));
+  return prometheus::TextSerializer().Serialize({ended, tokens, faults, away, now, held});
+}
+
+}  // namespace ryeglade
--- a/src/fronts/platform/platform_front.cpp
+++ b/src/fronts/platform/platform_front.cpp
@@ -131,7 +131,7 @@
 }
 
 void PlatformFront::Local(Handle connection, int status, const char* why, const std::string& headers) {
-  Log("local-reply status=%d why=%s", status, why);
+  Log(Level::kWarn, "local-reply", {{"status", status}, {"why", why}});
   downstream_->Reply(connection, status, headers + "Content-Type: text/plain\r\n", std::string(why) + "\n");
 }
 
@@ -177,7 +177,7 @@
 void PlatformFront::OnRefused(Handle connection, Time retry_after) {
   const auto it = open_.find(connection);
   if (it == open_.end()) return;
-  Log("local-reply status=503 why=refused id=%s", it->second.call_id.c_str());
+  Log(Level::kWarn, "local-reply", {{"status", 503}, {"why", "refused"}, {"id", it->second.call_id}});
   Forget(connection);
   char after[48] = "";
   if (retry_after > 0) {
@@ -189,13 +189,13 @@
 void PlatformFront::OnFailed(Handle connection, policy::Outcome) {
   const auto it = open_.find(connection);
   if (it == open_.end()) return;
-  Log("local-reply status=502 why=failed id=%s", it->second.call_id.c_str());
+  Log(Level::kWarn, "local-reply", {{"status", 502}, {"why", "failed"}, {"id", it->second.call_id}});
   Forget(connection);
   downstream_->Reply(connection, 502, "", "");
 }
 
 void PlatformFront::OnRejected(Handle connection, int status, const std::string& body) {
-  Log("local-reply status=%d why=rejected", status);
+  Log(Level::kWarn, "local-reply", {{"status", status}, {"why", "rejected"}});
   Forget(connection);
   downstream_->Reply(connection, status, "Content-Type: application/json\r\n", body);
 }
--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -147,14 +147,14 @@
     if (slow->state != State::kReading) return;
     slow->state = State::kAnswering;
     slow->keep_alive = false;
-    Log("local-reply status=408 why=slow-sender");
+    Log(Level::kWarn, "local-reply", {{"status", 408}, {"why", "slow-sender"}});
     Error(handle, 408);
   });
 }
 
 void Downstream::Accept() {
   if (!MakeRoom() && clients_.size() >= most_ + surplus_) {
-    if (!waiting_) Log("accept-waits clients=%zu", clients_.size());
+    if (!waiting_) Log(Level::kWarn, "accept-waits", {{"clients", clients_.size()}});
     waiting_ = true;
     // Guards against a connection that is never taken up: clients that become idle close nothing themselves.
     core_->deadlines->Set(Now() + kAcceptAgain, [this] {
@@ -176,7 +176,7 @@
   c.idle_since = last_arrival_ = Now();
   if (!c.tcp->Accept(reinterpret_cast<uv_stream_t*>(&listener_))) return Drop(handle);
   if (options_.admits && !options_.admits(c.tcp->Peer())) {
-    Log("client-not-admitted");
+    Log(Level::kWarn, "client-not-admitted");
     return Drop(handle);
   }
   Expire(handle, Now() + options_.read_within);
@@ -309,7 +309,7 @@
       c->used = true;
       last_arrival_ = Now();
       if (c->surplus && clients_.size() > most_ && !MakeRoom()) {
-        Log("local-reply status=503 why=sockets clients=%zu", clients_.size());
+        Log(Level::kWarn, "local-reply", {{"status", 503}, {"why", "sockets"}, {"clients", clients_.size()}});
         c->keep_alive = false;
         Error(handle, 503);
       } else {
@@ -318,7 +318,8 @@
       }
     } else if (error != HPE_OK) {
       const int status = c->reject != 0 ? c->reject : error == HPE_HEADER_OVERFLOW ? 431 : 400;
-      Log("local-reply status=%d why=%s", status, c->reject != 0 ? "limit" : http_errno_name(error));
+      Log(Level::kWarn, "local-reply",
+          {{"status", status}, {"why", c->reject != 0 ? "limit" : http_errno_name(error)}});
       core_->deadlines->Cancel(c->deadline);
       c->state = State::kAnswering;
       c->keep_alive = false;
@@ -375,7 +376,7 @@
   if (c.congested || c.tcp->unsent() < kCongested) return;
   c.congested = true;
   c.deadline = core_->deadlines->Set(Now() + kDrainWithin, [this, handle] {
-    Log("client-stuck");
+    Log(Level::kWarn, "client-stuck");
     Lost(handle);
   });
   front_->OnFlow(handle, true);
--- /dev/null
+++ b/src/http/event_stream.cpp
@@ -0,0 +1,93 @@
+#include "http/event_stream.h"
+
+#include <cstring>
+
+namespace ryeglade {
+namespace {
+
+constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
+
+// The first CR or LF at or after `from`; npos: none.
+std::size_t LineEnd(std::string_view text, std::size_t from) {
+  if (from >= text.size()) return std::string_view::npos;
+  const void* lf = std::memchr(text.data() + from, '\n', text.size() - from);
+  const std::size_t to =
+      lf == nullptr ? text.size() : static_cast<std::size_t>(static_cast<const char*>(lf) - text.data());
+  const void* cr = std::memchr(text.data() + from, '\r', to - from);
+  if (cr != nullptr) return static_cast<std::size_t>(static_cast<const char*>(cr) - text.data());
+  return lf == nullptr ? std::string_view::npos : to;
+}
+
+}  // namespace
+
+void EventStream::Begin() {
+  line_ = searched_ = 0;
+  data_.clear();
+  type_ = id_ = {};
+}
+
+// Remembers where it is, so that a block which comes byte by byte is searched once.
+bool EventStream::NextBlock(std::string_view block, Event* event) {
+  while (true) {
+    if (skip_lf_ && line_ < block.size()) {
+      skip_lf_ = false;
+      if (block[line_] == '\n') searched_ = ++line_;
+    }
+    const std::size_t end = LineEnd(block, searched_);
+    if (end == std::string_view::npos) {
+      searched_ = block.size();
+      return false;
+    }
+    const std::size_t from = line_;
+    skip_lf_ = block[end] == '\r';
+    line_ = searched_ = end + 1;
+    std::size_t start = from;
+    if (first_line_) {
+      first_line_ = false;
+      if (block.substr(from, kByteOrderMark.size()) == kByteOrderMark) start += kByteOrderMark.size();
+    }
+    if (start != end) {
+      Line(block, start, end);
+      continue;
+    }
+    // With CRLF the LF of the empty line is taken along if it is there already.
+    if (skip_lf_ && line_ < block.size()) {
+      skip_lf_ = false;
+      if (block[line_] == '\n') ++line_;
+    }
+    const auto view = [&](const Range& r) { return block.substr(r.first, r.second); };
+    event->raw = block.substr(0, line_);
+    event->has_data = !data_.empty();
+    event->type = view(type_);
+    event->id = view(id_);
+    event->data = {};
+    if (data_.size() == 1) event->data = view(data_.front());
+    if (data_.size() > 1) {
+      joined_.clear();
+      for (const Range& r : data_) {
+        if (&r != &data_.front()) joined_ += '\n';
+        joined_ += view(r);
+      }
+      event->data = joined_;
+    }
+    return true;
+  }
+}
+
+void EventStream::Line(std::string_view block, std::size_t from, std::size_t to) {
+  const std::string_view line = block.substr(from, to - from);
+  const std::size_t colon = line.find(':');
+  if (colon == 0) return;  // a comment
+  const std::string_view field = line.substr(0, colon);
+  std::size_t value = to;
+  if (colon != std::string_view::npos) {
+    value = from + colon + 1;
+    if (value < to && block[value] == ' ') ++value;
+  }
+  const Range range{value, to - value};
+  if (field == "data") data_.push_back(range);
+  if (field == "event") type_ = range;
+  if (field == "id") id_ = range;
+}
+
+}  // namespace ryeglade
--- /dev/null
+++ b/src/keys/keyring.cpp
@@ -0,0 +1,220 @@
+#include "keys/keyring.h"
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/rand.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <cerrno>
+#include <cstring>
+#include <ctime>
+#include <sstream>
+#include <stdexcept>
+
+#include "settings/toml_reader.h"
+
+namespace ryeglade::keys {
+namespace {
+
+constexpr std::string_view kPrefix = "rg-";
+constexpr std::size_t kIdDigits = 8, kSecretDigits = 64, kSaltDigits = 32, kHashDigits = 64;
+constexpr std::size_t kPresented = kPrefix.size() + kIdDigits + 1 + kSecretDigits;
+
+bool IsHex(std::string_view text, std::size_t digits) {
+  return text.size() == digits && std::all_of(text.begin(), text.end(), [](unsigned char c) {
+           return std::isdigit(c) || (c >= 'a' && c <= 'f');
+         });
+}
+
+std::string ToHex(const unsigned char* bytes, std::size_t n) {
+  std::string out;
+  for (std::size_t i = 0; i < n; ++i) out += fmt::format("{:02x}", bytes[i]);
+  return out;
+}
+
+std::string FromHex(std::string_view hex) {
+  const auto digit = [](char c) { return c <= '9' ? c - '0' : c - 'a' + 10; };
+  std::string out;
+  for (std::size_t i = 0; i + 1 < hex.size(); i += 2) {
+    out += static_cast<char>(digit(hex[i]) * 16 + digit(hex[i + 1]));
+  }
+  return out;
+}
+
+using Digest = std::array<unsigned char, 32>;
+
+Digest HashOf(std::string_view salt_hex, std::string_view secret) {
+  Digest digest{};
+  const std::string text = FromHex(salt_hex) + std::string(secret);
+  unsigned length = 0;
+  if (EVP_Digest(text.data(), text.size(), digest.data(), &length, EVP_sha256(), nullptr) != 1) {
+    throw std::runtime_error("SHA-256 is not to be had from OpenSSL");
+  }
+  return digest;
+}
+
+std::string RandomHex(std::size_t digits) {
+  std::array<unsigned char, 32> bytes{};
+  if (RAND_bytes(bytes.data(), static_cast<int>(digits / 2)) != 1) {
+    throw std::runtime_error("no randomness is to be had from OpenSSL");
+  }
+  return ToHex(bytes.data(), digits / 2);
+}
+
+constexpr std::size_t kMostText = 256;
+
+std::string IdOfText(std::string_view text) {
+  const Digest digest = HashOf("", text);
+  return ToHex(digest.data(), kIdDigits / 2);
+}
+
+}  // namespace
+
+Keyring Keyring::Parse(const std::string& file, const std::string& text) {
+  const toml::table table = ParseToml(file, text);
+  TomlSection top(file, "", &table);
+  Keyring ring;
+  for (TomlSection& entry : top.Tables("key")) {
+    Key key;
+    key.id = entry.Needed("id", "8 hexadecimal digits, as `ryeglade key new` makes them");
+    if (!IsHex(key.id, kIdDigits)) entry.Fail("id", "must be 8 lower-case hexadecimal digits");
+    if (ring.keys_.contains(key.id)) entry.Fail("id", "comes twice in the file; revoke one of the two");
+    key.name = entry.Text("name", "");
+    key.salt = entry.Needed("salt", "32 hexadecimal digits");
+    if (!IsHex(key.salt, kSaltDigits)) entry.Fail("salt", "must be 32 lower-case hexadecimal digits");
+    key.hash = entry.Needed("hash", "64 hexadecimal digits; the key itself never stands in this file");
+    if (!IsHex(key.hash, kHashDigits)) entry.Fail("hash", "must be 64 lower-case hexadecimal digits");
+    key.created = entry.Text("created", "");
+    key.cls = entry.Text("class", "");
+    key.rule.requests_per_min = entry.Number("requests_per_min", 0, 1e9, 0);
+    key.rule.tokens_per_min = entry.Number("tokens_per_min", 0, 1e12, 0);
+    key.rule.streams = static_cast<int>(entry.Whole("streams", 0, 1'000'000, 0));
+    entry.Close();
+    if (ring.keys_.size() >= kMostKeys)
+      entry.Fail("id", fmt::format("is one too many; {} keys are the most", kMostKeys));
+    ring.Add(std::move(key));
+  }
+  top.Close();
+  return ring;
+}
+
+Keyring Keyring::Load(const std::string& path) {
+  struct stat info {};
+  if (stat(path.c_str(), &info) != 0) {
+    throw SettingsError(path + ": cannot be read: " + std::strerror(errno) +
+                        "; make it with `ryeglade key new`");
+  }
+  if ((info.st_mode & 077) != 0) {
+    throw SettingsError(fmt::format("{}: others may read it (mode {:o}); run: chmod 600 {}", path,
+                                    static_cast<unsigned>(info.st_mode & 0777), path));
+  }
+  return Parse(path, ReadWholeFile(path));
+}
+
+const Key* Keyring::Verify(std::string_view presented) const {
+  // An unknown id is checked against nobody's hash, so that it takes as long as a known one.
+  static const Key kNobody{"", "", std::string(kSaltDigits, '0'), std::string(kHashDigits, '0'), "", {}, ""};
+  const bool formed = presented.size() == kPresented && presented.starts_with(kPrefix) &&
+                      presented[kPrefix.size() + kIdDigits] == '-';
+  if (presented.empty() || presented.size() > kMostText) return nullptr;
+  const std::string id =
+      formed ? std::string(presented.substr(kPrefix.size(), kIdDigits)) : IdOfText(presented);
+  const auto it = keys_.find(id);
+  const Key& key = it == keys_.end() ? kNobody : it->second;
+  const Digest digest = HashOf(key.salt, formed ? presented.substr(kPresented - kSecretDigits) : presented);
+  const std::string wanted = FromHex(key.hash);
+  const bool same = CRYPTO_memcmp(digest.data(), wanted.data(), digest.size()) == 0;
+  return same && it != keys_.end() ? &it->second : nullptr;
+}
+
+const Key* Keyring::Find(const std::string& id) const {
+  const auto it = keys_.find(id);
+  return it == keys_.end() ? nullptr : &it->second;
+}
+
+void Keyring::Add(Key key) {
+  const std::string id = key.id;
+  if (keys_.insert_or_assign(id, std::move(key)).second) order_.push_back(id);
+}
+
+bool Keyring::Remove(const std::string& id) {
+  if (keys_.erase(id) == 0) return false;
+  std::erase(order_, id);
+  return true;
+}
+
+std::string Keyring::Text() const {
+  std::string out =
+      "# Keys of clients, as salted hashes. Made by `ryeglade key`; keep the mode at 600. SIGHUP takes a "
+      "change up.\n";
+  for (const std::string& id : order_) {
+    const Key& key = keys_.at(id);
+    toml::table t;
+    t.insert("id", key.id);
+    if (!key.name.empty()) t.insert("name", key.name);
+    t.insert("salt", key.salt);
+    t.insert("hash", key.hash);
+    if (!key.created.empty()) t.insert("created", key.created);
+    if (!key.cls.empty()) t.insert("class", key.cls);
+    if (key.rule.requests_per_min > 0) t.insert("requests_per_min", key.rule.requests_per_min);
+    if (key.rule.tokens_per_min > 0) t.insert("tokens_per_min", key.rule.tokens_per_min);
+    if (key.rule.streams > 0) t.insert("streams", static_cast<std::int64_t>(key.rule.streams));
+    std::ostringstream text;
+    text << t;
+    out += "\n[[key]]\n" + text.str() + "\n";
+  }
+  return out;
+}
+
+void Keyring::Save(const std::string& path) const {
+  const std::string fresh = path + ".new";
+  const auto fail = [&](const char* what) {
+    const int error = errno;
+    unlink(fresh.c_str());
+    throw SettingsError(fmt::format("{}: {}: {}", path, what, std::strerror(error)));
+  };
+  const int fd = open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  if (fd < 0) fail("cannot be written");
+  const std::string text = Text();
+  const bool written =
+      write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size()) && fsync(fd) == 0;
+  const int error = errno;
+  close(fd);
+  errno = error;
+  if (!written) fail("cannot be written");
+  if (rename(fresh.c_str(), path.c_str()) != 0) fail("cannot be put in place");
+}
+
+Key KeyFromText(const std::string& name, const std::string& text) {
+  Key key;
+  key.id = IdOfText(text);
+  key.name = name;
+  key.salt = RandomHex(kSaltDigits);
+  const Digest digest = HashOf(key.salt, text);
+  key.hash = ToHex(digest.data(), digest.size());
+  return key;
+}
+
+NewKey MakeKey(const std::string& name) {
+  NewKey made;
+  made.key.id = RandomHex(kIdDigits);
+  made.key.name = name;
+  made.key.salt = RandomHex(kSaltDigits);
+  const std::string secret = RandomHex(kSecretDigits);
+  const Digest digest = HashOf(made.key.salt, secret);
+  made.key.hash = ToHex(digest.data(), digest.size());
+  const std::time_t now = std::time(nullptr);
+  std::tm utc{};
+  gmtime_r(&now, &utc);
+  made.key.created = fmt::format("{:04}-{:02}-{:02}", utc.tm_year + 1900, utc.tm_mon + 1, utc.tm_mday);
+  made.presented = std::string(kPrefix) + made.key.id + "-" + secret;
+  return made;
+}
+
+}  // namespace ryeglade::keys
--- /dev/null
+++ b/src/ledger/ledger_model.cpp
@@ -0,0 +1,154 @@
+#include "ledger/ledger_model.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <vector>
+
+namespace ryeglade::ledger {
+namespace {
+
+using nlohmann::json;
+
+json TokensToJson(const Tokens& t) { return {{"prompt", t.prompt}, {"kept", t.kept}, {"answer", t.answer}}; }
+
+Tokens TokensFromJson(const json& j) {
+  return {j.at("prompt").get<double>(), j.at("kept").get<double>(), j.at("answer").get<double>()};
+}
+
+}  // namespace
+
+const char* Word(Column column) {
+  static constexpr std::array<const char*, kColumns> kWords = {"served",      "refused", "failed", "rejected",
+                                                               "client-left", "broken",  "cut"};
+  return kWords.at(static_cast<std::size_t>(column));
+}
+
+std::uint64_t Row::open() const {
+  std::uint64_t done = 0;
+  for (const std::uint64_t n : ended) done += n;
+  return admitted - done;
+}
+
+void Row::Add(const Row& other) {
+  const auto add = [](Tokens& to, const Tokens& t) {
+    to.prompt += t.prompt;
+    to.kept += t.kept;
+    to.answer += t.answer;
+  };
+  admitted += other.admitted;
+  for (std::size_t i = 0; i < kColumns; ++i) ended.at(i) += other.ended.at(i);
+  for (std::size_t i = 0; i < kUsageFaults; ++i) usage_faults.at(i) += other.usage_faults.at(i);
+  add(reported, other.reported);
+  add(estimated, other.estimated);
+}
+
+Row& Ledger::At(const std::string& key, const std::string& model) {
+  const auto it = rows_.find({key, model});
+  if (it != rows_.end()) return it->second;
+  if (rows_.size() >= kMostRows) return rows_[{"(other)", "(other)"}];
+  return rows_[{key, model}];
+}
+
+void Ledger::Admitted(const std::string& key, const std::string& model) { ++At(key, model).admitted; }
+
+void Ledger::Ended(const std::string& key, const std::string& model, Column column, const Usage& usage,
+                   bool reported, const UsageFault* fault) {
+  Row& row = At(key, model);
+  ++row.ended.at(static_cast<std::size_t>(column));
+  Tokens& tokens = reported ? row.reported : row.estimated;
+  tokens.prompt += usage.prompt;
+  tokens.kept += usage.kept;
+  tokens.answer += usage.answer;
+  if (fault != nullptr) ++row.usage_faults.at(static_cast<std::size_t>(*fault));
+}
+
+Row Ledger::Total() const {
+  Row total;
+  for (const auto& [id, row] : rows_) total.Add(row);
+  return total;
+}
+
+std::string ToJson(const Ledger& ledger, const std::string& node, std::int64_t unix_ms) {
+  json rows = json::array();
+  for (const auto& [id, row] : ledger.rows()) {
+    json ended, faults = json::object();
+    for (std::size_t i = 0; i < kColumns; ++i) ended[Word(static_cast<Column>(i))] = row.ended.at(i);
+    for (std::size_t i = 0; i < kUsageFaults; ++i) {
+      if (row.usage_faults.at(i) > 0) faults[Word(static_cast<UsageFault>(i))] = row.usage_faults.at(i);
+    }
+    rows.push_back({{"key", id.first},
+                    {"model", id.second},
+                    {"admitted", row.admitted},
+                    {"ended", ended},
+                    {"reported", TokensToJson(row.reported)},
+                    {"estimated", TokensToJson(row.estimated)},
+                    {"usage_faults", faults}});
+  }
+  const json all = {{"format", "ryeglade-ledger-1"},
+                    {"node", node},
+                    {"unix_ms", unix_ms},
+                    {"rows", rows},
+                    {"turned_away", ledger.turned_away()}};
+  return all.dump(1) + "\n";
+}
+
+std::map<Ledger::Id, Row> RowsFromJson(const std::string& text) {
+  std::map<Ledger::Id, Row> rows;
+  try {
+    const json all = json::parse(text);
+    if (all.at("format") != "ryeglade-ledger-1") throw std::runtime_error("not a ledger of this format");
+    for (const json& j : all.at("rows")) {
+      Row row;
+      row.admitted = j.at("admitted").get<std::uint64_t>();
+      for (std::size_t i = 0; i < kColumns; ++i) {
+        row.ended.at(i) = j.at("ended").at(Word(static_cast<Column>(i))).get<std::uint64_t>();
+      }
+      for (std::size_t i = 0; i < kUsageFaults; ++i) {
+        row.usage_faults.at(i) =
+            j.at("usage_faults").value(Word(static_cast<UsageFault>(i)), std::uint64_t{0});
+      }
+      row.reported = TokensFromJson(j.at("reported"));
+      row.estimated = TokensFromJson(j.at("estimated"));
+      rows[{j.at("key").get<std::string>(), j.at("model").get<std::string>()}].Add(row);
+    }
+  } catch (const json::exception& e) {
+    throw std::runtime_error(e.what());
+  }
+  return rows;
+}
+
+std::string Table(const std::map<Ledger::Id, Row>& rows) {
+  const auto line = [](const std::string& key, const std::string& model, const Row& r) {
+    std::string faults;
+    for (std::size_t i = 0; i < kUsageFaults; ++i) {
+      if (r.usage_faults.at(i) == 0) continue;
+      faults += fmt::format("{}{}={}", faults.empty() ? "" : " ", Word(static_cast<UsageFault>(i)),
+                            r.usage_faults.at(i));
+    }
+    std::string out = fmt::format("{:<14.14} {:<18.18} {:>8}", key, model, r.admitted);
+    for (const std::uint64_t n : r.ended) out += fmt::format(" {:>8}", n);
+    out += fmt::format(" {:>6} {:>11.0f} {:>11.0f} {:>11.0f} {:>11.0f} {:>11.0f}  {}\n", r.open(),
+                       r.reported.prompt, r.reported.kept, r.reported.answer, r.estimated.prompt,
+                       r.estimated.answer, faults.empty() ? "-" : faults);
+    return out;
+  };
+  std::string out = fmt::format("{:<14} {:<18} {:>8}", "key", "model", "admitted");
+  for (std::size_t i = 0; i < kColumns; ++i) {
+    out += fmt::format(" {:>8.8}", i == static_cast<std::size_t>(Column::kClientLeft)
+                                       ? "left"
+                                       : Word(static_cast<Column>(i)));
+  }
+  out += fmt::format(" {:>6} {:>11} {:>11} {:>11} {:>11} {:>11}  {}\n", "open", "prompt", "kept", "answer",
+                     "est.prompt", "est.answer", "usage not believed");
+  Row total;
+  for (const auto& [id, row] : rows) {
+    out += line(id.first, id.second, row);
+    total.Add(row);
+  }
+  return out + line("total", "", total);
+}
+
+}  // namespace ryeglade::ledger
--- /dev/null
+++ b/src/settings/edge_settings.h
@@ -0,0 +1,63 @@
+// The settings file in TOML: everything that is not the platform's JSON. Absent file, absent tables: nothing
+// new is on.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "limits/limits_policy.h"
+#include "ryeglade/router.h"
+
+namespace ryeglade {
+
+using policy::Time;
+
+struct ModelSettings {
+  std::string id;        // as clients name it
+  std::string upstream;  // as replicas name it; empty: the same
+  std::string owned_by;
+  std::int64_t created = 0;    // Unix time in seconds
+  std::string cls;             // of its requests, unless a route says otherwise
+  double answer_tokens = 512;  // reserved for an answer whose request sets no max_tokens
+};
+
+struct RouteSettings {  // the first that matches counts; an empty condition matches all
+  std::string model, key, path;
+  std::string cls;
+  Time deadline = 0;  // 0: the class's own
+};
+
+struct OpenAiSettings {
+  bool on = false;
+  std::string listen;
+  std::vector<std::string> networks;          // that may connect; empty: all
+  std::vector<std::string> metrics_networks;  // that may read /metrics; empty: none
+  std::string keys_file;                      // empty: no key is asked for
+  std::size_t most_body = std::size_t{256} * 1024;
+  std::size_t most_answer = std::size_t{1024} * 1024;  // of one that is put together
+  Time read_within = 10'000'000;
+  std::string ledger_dir;  // empty: not written out
+  Time ledger_every = 60'000'000;
+  limits::Rule limits;  // of a key that has none of its own
+  std::vector<ModelSettings> models;
+  std::vector<RouteSettings> routes;
+};
+
+struct EdgeSettings {
+  std::string source;
+  std::string log_format = "logfmt";  // or "json"
+  std::string log_level = "info";     // debug, info, warn, error
+  int log_lines = 300;                // a second, the most
+  std::string dialect = "platform";   // of the upstream hosts; or "openai"
+  std::string upstream_key_file;      // whose first line is sent to them as a bearer token
+  OpenAiSettings openai;
+};
+
+// `classes` are the names that the platform's JSON gives. Both throw SettingsError.
+EdgeSettings ReadEdgeSettings(const std::string& file, const std::string& text,
+                              const std::vector<std::string>& classes);
+EdgeSettings LoadEdgeSettings(const std::string& path, const std::vector<std::string>& classes);
+
+}  // namespace ryeglade
--- /dev/null
+++ b/src/settings/toml_reader.cpp
@@ -0,0 +1,227 @@
+#include "settings/toml_reader.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+
+namespace ryeglade {
+namespace {
+
+using policy::Time;
+
+constexpr std::size_t kMiB = std::size_t{1024} * 1024;
+
+// Edits between two words, for the nearest known key.
+std::size_t Distance(std::string_view a, std::string_view b) {
+  std::vector<std::size_t> row(b.size() + 1);
+  for (std::size_t j = 0; j <= b.size(); ++j) row[j] = j;
+  for (std::size_t i = 1; i <= a.size(); ++i) {
+    std::size_t corner = row[0];
+    row[0] = i;
+    for (std::size_t j = 1; j <= b.size(); ++j) {
+      const std::size_t above = row[j];
+      row[j] = std::min({above + 1, row[j - 1] + 1, corner + (a[i - 1] == b[j - 1] ? 0 : 1)});
+      corner = above;
+    }
+  }
+  return row[b.size()];
+}
+
+struct Unit {
+  std::string_view name;
+  double factor;
+};
+
+// "7.5s" with the units given; NaN: not of that form.
+double Quantity(std::string_view text, const std::vector<Unit>& units) {
+  double value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc()) return std::nan("");
+  std::string_view unit(end, static_cast<std::size_t>(text.data() + text.size() - end));
+  while (!unit.empty() && unit.front() == ' ') unit.remove_prefix(1);
+  for (const Unit& u : units) {
+    if (u.name == unit) return value * u.factor;
+  }
+  return std::nan("");
+}
+
+std::string SpanText(Time t) {
+  if (t % 60'000'000 == 0 && t > 0) return fmt::format("{}m", t / 60'000'000);
+  if (t % 1'000'000 == 0) return fmt::format("{}s", t / 1'000'000);
+  return fmt::format("{}ms", static_cast<double>(t) / 1000);
+}
+
+std::string BytesText(std::size_t n) {
+  if (n % kMiB == 0 && n > 0) return fmt::format("{}MiB", n / kMiB);
+  return n % 1024 == 0 ? fmt::format("{}KiB", n / 1024) : fmt::format("{}B", n);
+}
+
+}  // namespace
+
+std::string ReadWholeFile(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) throw SettingsError(path + ": cannot be read");
+  return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+}
+
+toml::table ParseToml(const std::string& file, const std::string& text) {
+  try {
+    return toml::parse(text, file);
+  } catch (const toml::parse_error& e) {
+    throw SettingsError(fmt::format("{}:{}: not TOML: {}", file, e.source().begin.line, e.description()));
+  }
+}
+
+std::string TomlSection::At(const std::string& key) const {
+  std::size_t line = 0;
+  if (table_ != nullptr) {
+    line = table_->source().begin.line;
+    if (const auto it = table_->find(key); it != table_->end()) line = it->second.source().begin.line;
+  }
+  return fmt::format("{}:{}: {}{}{}", file_, line, path_, path_.empty() || key.empty() ? "" : ".", key);
+}
+
+void TomlSection::Fail(const std::string& key, const std::string& what) const {
+  throw SettingsError(At(key) + ": " + what);
+}
+
+const toml::node* TomlSection::Find(const std::string& key) {
+  known_.push_back(key);
+  return table_ == nullptr ? nullptr : table_->get(key);
+}
+
+bool TomlSection::Has(const std::string& key) { return Find(key) != nullptr; }
+
+std::string TomlSection::Text(const std::string& key, const std::string& fallback) {
+  const toml::node* node = Find(key);
+  if (node == nullptr) return fallback;
+  if (!node->is_string()) Fail(key, "must be a text in quotes");
+  return node->as_string()->get();
+}
+
+std::string TomlSection::Needed(const std::string& key, const std::string& what) {
+  std::string text = Text(key, "");
+  if (text.empty()) Fail(key, "is missing; give " + what);
+  return text;
+}
+
+std::string TomlSection::Choice(const std::string& key, const std::vector<std::string>& allowed,
+                                const std::string& fallback) {
+  std::string text = Text(key, fallback);
+  if (std::find(allowed.begin(), allowed.end(), text) != allowed.end()) return text;
+  std::string words;
+  for (const std::string& word : allowed) words += (words.empty() ? "\"" : ", \"") + word + "\"";
+  Fail(key, fmt::format("is \"{}\"; allowed are {}", text, words));
+}
+
+double TomlSection::Number(const std::string& key, double least, double most, double fallback) {
+  const toml::node* node = Find(key);
+  if (node == nullptr) return fallback;
+  const auto value = node->value<double>();
+  if (!node->is_number() || !value || !(*value >= least && *value <= most)) {
+    Fail(key, fmt::format("must be a number from {} to {}", least, most));
+  }
+  return *value;
+}
+
+std::size_t TomlSection::Whole(const std::string& key, std::size_t least, std::size_t most,
+                               std::size_t fallback) {
+  const toml::node* node = Find(key);
+  if (node == nullptr) return fallback;
+  const auto value = node->is_integer() ? node->value<std::int64_t>() : std::nullopt;
+  if (!value || *value < 0 || static_cast<std::size_t>(*value) < least ||
+      static_cast<std::size_t>(*value) > most) {
+    Fail(key, fmt::format("must be a whole number from {} to {}", least, most));
+  }
+  return static_cast<std::size_t>(*value);
+}
+
+bool TomlSection::Flag(const std::string& key, bool fallback) {
+  const toml::node* node = Find(key);
+  if (node == nullptr) return fallback;
+  if (!node->is_boolean()) Fail(key, "must be true or false, without quotes");
+  return node->as_boolean()->get();
+}
+
+Time TomlSection::Span(const std::string& key, Time least, Time most, Time fallback) {
+  const toml::node* node = Find(key);
+  if (node == nullptr) return fallback;
+  const std::string allowed = fmt::format("a time in quotes with its unit (ms, s, m or h), from {} to {}",
+                                          SpanText(least), SpanText(most));
+  if (node->is_number()) Fail(key, "has no unit; give " + allowed);
+  if (!node->is_string()) Fail(key, "must be " + allowed);
+  const double value =
+      Quantity(node->as_string()->get(), {{"ms", 1e3}, {"s", 1e6}, {"m", 60e6}, {"h", 3600e6}});
+  if (!(value >= static_cast<double>(least) && value <= static_cast<double>(most))) {
+    Fail(key, fmt::format("is \"{}\"; give {}", node->as_string()->get(), allowed));
+  }
+  return static_cast<Time>(std::llround(value));
+}
+
+std::size_t TomlSection::Bytes(const std::string& key, std::size_t least, std::size_t most,
+                               std::size_t fallback) {
+  const toml::node* node = Find(key);
+  if (node == nullptr) return fallback;
+  const std::string allowed = fmt::format("a size in quotes with its unit (B, KiB or MiB), from {} to {}",
+                                          BytesText(least), BytesText(most));
+  if (!node->is_string()) Fail(key, "must be " + allowed);
+  const double value = Quantity(node->as_string()->get(), {{"B", 1}, {"KiB", 1024}, {"MiB", 1024.0 * 1024}});
+  if (!(value >= static_cast<double>(least) && value <= static_cast<double>(most))) {
+    Fail(key, fmt::format("is \"{}\"; give {}", node->as_string()->get(), allowed));
+  }
+  return static_cast<std::size_t>(value);
+}
+
+std::vector<std::string> TomlSection::Texts(const std::string& key) {
+  std::vector<std::string> texts;
+  const toml::node* node = Find(key);
+  if (node == nullptr) return texts;
+  if (!node->is_array()) Fail(key, "must be a list of texts");
+  for (const toml::node& item : *node->as_array()) {
+    if (!item.is_string()) Fail(key, "must hold only texts in quotes");
+    texts.push_back(item.as_string()->get());
+  }
+  return texts;
+}
+
+TomlSection TomlSection::Table(const std::string& key) {
+  const toml::node* node = Find(key);
+  if (node != nullptr && !node->is_table()) Fail(key, "must be a table: [" + key + "]");
+  return {file_, path_.empty() ? key : path_ + "." + key, node == nullptr ? nullptr : node->as_table()};
+}
+
+std::vector<TomlSection> TomlSection::Tables(const std::string& key) {
+  std::vector<TomlSection> all;
+  const toml::node* node = Find(key);
+  if (node == nullptr) return all;
+  const std::string path = path_.empty() ? key : path_ + "." + key;
+  if (!node->is_array_of_tables()) Fail(key, "must be written as [[" + path + "]], once for each");
+  for (const toml::node& item : *node->as_array()) all.emplace_back(file_, path, item.as_table());
+  return all;
+}
+
+void TomlSection::Close() const {
+  if (table_ == nullptr) return;
+  for (const auto& [name, node] : *table_) {
+    const std::string key(name.str());
+    if (std::find(known_.begin(), known_.end(), key) != known_.end()) continue;
+    std::string nearest, all;
+    std::size_t best = 4;  // further off than this is no likely slip
+    for (const std::string& known : known_) {
+      all += (all.empty() ? "" : ", ") + known;
+      if (const std::size_t d = Distance(key, known); d < best) {
+        best = d;
+        nearest = known;
+      }
+    }
+    Fail(key, nearest.empty() ? "is not known here; known are " + all
+                              : "is not known here; did you mean '" + nearest + "'?");
+  }
+}
+
+}  // namespace ryeglade
--- /dev/null
+++ b/tests/edge_settings_test.cpp
@@ -0,0 +1,88 @@
+// The settings file: every error names file, line, key, what is wrong and what is allowed.
+#include "settings/edge_settings.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "settings/toml_reader.h"
+
+namespace ryeglade {
+namespace {
+
+const std::vector<std::string> kClasses = {"docs", "agent"};
+const std::string kGood = R"([log]
+format = "json"
+[upstream]
+dialect = "openai"
+[openai]
+listen = "127.0.0.1:0"
+networks = ["10.0.0.0/8", "::1"]
+most_body = "128KiB"
+read_within = "7.5s"
+[openai.limits]
+tokens_per_min = 1e6
+[[openai.model]]
+id = "m"
+class = "agent"
+[[openai.route]]
+model = "m"
+deadline = "2m"
+)";
+
+std::string Says(const std::string& text) {
+  try {
+    ReadEdgeSettings("edge.toml", text, kClasses);
+  } catch (const SettingsError& e) {
+    return e.what();
+  }
+  return "";
+}
+
+std::string With(const std::string& from, const std::string& to) {
+  std::string text = kGood;
+  text.replace(text.find(from), from.size(), to);
+  return text;
+}
+
+TEST(EdgeSettings, GoodOnesAreTaken) {
+  const EdgeSettings e = ReadEdgeSettings("edge.toml", kGood, kClasses);
+  EXPECT_TRUE(e.openai.on);
+  EXPECT_EQ(e.openai.most_body, 128U * 1024);
+  EXPECT_EQ(e.openai.read_within, 7'500'000);
+  EXPECT_EQ(e.openai.routes.at(0).deadline, 120'000'000);
+  EXPECT_EQ(e.openai.limits.tokens_per_min, 1e6);
+  EXPECT_FALSE(ReadEdgeSettings("edge.toml", "", kClasses).openai.on);
+}
+
+TEST(EdgeSettings, EachSlipNamesPlaceAndRemedy) {
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {With("format", "fromat"), "edge.toml:2: log.fromat: is not known here; did you mean 'format'?"},
+      {With("\"json\"", "\"xml\""), "edge.toml:2: log.format: is \"xml\"; allowed are \"logfmt\", \"json\""},
+      {With("\"json\"", "json"), "edge.toml:2: not TOML"},
+      {With("[upstream]", "[upsteam]"), "edge.toml:3: upsteam: is not known here; did you mean 'upstream'?"},
+      {With("127.0.0.1:0", "localhost"), "edge.toml:6: openai.listen: is not an ip:port"},
+      {With("10.0.0.0/8", "10.0.0.1/8"), "edge.toml:7: openai.networks: \"10.0.0.1/8\" is no network"},
+      {With("\"128KiB\"", "131072"), "edge.toml:8: openai.most_body: must be a size in quotes with its unit"},
+      {With("\"7.5s\"", "7.5"), "edge.toml:9: openai.read_within: has no unit"},
+      {With("\"7.5s\"", "\"7.5 parsecs\""), "edge.toml:9: openai.read_within: is \"7.5 parsecs\""},
+      {With("\"7.5s\"", "\"7.5h\""), "from 100ms to 10m"},
+      {With("1e6", "-1"), "edge.toml:11: openai.limits.tokens_per_min: must be a number from 0"},
+      {With("id = \"m\"", "name = \"m\""), "edge.toml:12: openai.model.id: is missing"},
+      {With("\"agent\"", "\"agnt\""),
+       "edge.toml:14: openai.model.class: is \"agnt\"; the configuration has \"docs\", \"agent\""},
+      {With("model = \"m\"", "model = \"n\""),
+       "edge.toml:16: openai.route.model: \"n\" is in no [[openai.model]]"},
+      {With("[[openai.route]]", "[openai.route]"), "openai.route: must be written as [[openai.route]]"},
+      {With("\"openai\"", "\"platform\"\nkey_file = \"x\""), "edge.toml:5: upstream.key_file"},
+  };
+  for (const auto& [text, wanted] : cases) {
+    EXPECT_NE(Says(text).find(wanted), std::string::npos)
+        << "wanted: " << wanted << "\nsaid:   " << Says(text);
+  }
+}
+
+}  // namespace
+}  // namespace ryeglade
--- /dev/null
+++ b/tests/openai_front_test.cpp
@@ -0,0 +1,344 @@
+// Stories of the OpenAI-style front: a node as a process between stand-in replicas and clients, one test for
+// each thing that goes wrong.
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "http/event_stream.h"
+#include "keys/keyring.h"
+#include "lab/rig.h"
+#include "lab/text.h"
+#include "ledger/ledger_model.h"
+
+namespace ryeglade::lab {
+namespace {
+
+using nlohmann::json;
+
+const char* Program() { return std::getenv("RYEGLADE_PROGRAM"); }
+
+std::string Body(const std::string& prompt, const std::string& more = "",
+                 const std::string& model = "docs-model") {
+  return R"({"model":")" + model + "\"" + more + R"(,"messages":[{"role":"user","content":")" + prompt +
+         "\"}]}";
+}
+
+struct Story {
+  explicit Story(const StandInOptions& replica = {}, const std::string& limits = "",
+                 std::size_t replicas = 1) {
+    RigOptions o;
+    o.program = Program();
+    o.replicas.assign(replicas, replica);
+    o.key = "k";
+    o.limits = limits;
+    rig = std::make_unique<Rig>(o);
+  }
+  Reply Chat(const std::string& body, const std::string& headers = "Authorization: Bearer k\r\n") {
+    return rig->Ask(rig->openai(), Post("/v1/chat/completions", headers, body));
+  }
+  ledger::Row Ledger() {
+    ledger::Row all;
+    for (const auto& [id, row] : ledger::RowsFromJson(rig->Ledger())) all.Add(row);
+    return all;
+  }
+  std::unique_ptr<Rig> rig;
+};
+
+std::uint64_t In(const ledger::Row& row, ledger::Column column) {
+  return row.ended.at(static_cast<std::size_t>(column));
+}
+
+struct Events {
+  std::string text;
+  bool done = false, usage = false, error = false;
+};
+
+Events Read(const std::string& body) {
+  Events seen;
+  EventStream stream(1 << 20);
+  stream.Feed(body, [&](const EventStream::Event& e) {
+    if (!e.has_data) return true;
+    if (e.data == "[DONE]") {
+      seen.done = true;
+      return true;
+    }
+    const json chunk = json::parse(e.data);
+    seen.error = seen.error || chunk.contains("error");
+    seen.usage = seen.usage || (chunk.contains("usage") && chunk["usage"].is_object());
+    if (chunk.contains("choices") && !chunk["choices"].empty())
+      seen.text += chunk["choices"][0]["delta"].value("content", "");
+    return true;
+  });
+  return seen;
+}
+
+std::string Wanted(const std::string& body, std::size_t tokens = 64) {
+  return Text(PromptKey(body), 1, tokens);
+}
+
+TEST(OpenAiFront, StreamedAndWholeAnswersHoldTheSameText) {
+  for (const Speech speech : {Speech::kOpenAi, Speech::kPlatform}) {
+    StandInOptions replica;
+    replica.speech = speech;
+    Story s(replica);
+    const std::string streamed = Body("hello", R"(,"stream":true)"), whole = Body("hello");
+    const Reply one = s.Chat(streamed);
+    EXPECT_EQ(one.status, 200);
+    EXPECT_TRUE(one.whole);
+    EXPECT_EQ(one.Header("x-request-id").substr(0, 4), "req_");
+    const Events events = Read(one.body);
+    EXPECT_TRUE(events.done && !events.usage && !events.error);
+    EXPECT_EQ(events.text, Wanted(streamed));
+    EXPECT_TRUE(
+        Read(s.Chat(Body("hello", R"(,"stream":true,"stream_options":{"include_usage":true})")).body).usage);
+    const Reply two = s.Chat(whole);
+    EXPECT_EQ(two.status, 200);
+    const json answer = json::parse(two.body);
+    EXPECT_EQ(answer["choices"][0]["message"]["content"], Wanted(whole));
+    EXPECT_EQ(answer["choices"][0]["finish_reason"], "stop");
+    EXPECT_EQ(answer["object"], "chat.completion");
+    EXPECT_EQ(answer["usage"]["completion_tokens"], 64);
+    const ledger::Row row = s.Ledger();
+    EXPECT_EQ(In(row, ledger::Column::kServed), 3U);
+    EXPECT_EQ(row.reported.answer, 192);
+    EXPECT_EQ(row.estimated.answer, 0);
+  }
+}
+
+TEST(OpenAiFront, ModelsPathsMethodsAndKeys) {
+  Story s;
+  const auto get = [&](const std::string& path, const std::string& key = "k") {
+    return s.rig->Ask(s.rig->openai(),
+                      "GET " + path + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + key + "\r\n\r\n");
+  };
+  EXPECT_EQ(json::parse(get("/v1/models").body)["data"].size(), 2U);
+  EXPECT_EQ(json::parse(get("/v1/models/docs-model").body)["id"], "docs-model");
+  const auto wrong = [](const Reply& r, int status, const std::string& code) {
+    EXPECT_EQ(r.status, status);
+    EXPECT_EQ(json::parse(r.body)["error"]["code"], code) << r.body;
+    EXPECT_FALSE(r.Header("x-request-id").empty());
+  };
+  wrong(get("/v1/models/none"), 404, "model_not_found");
+  wrong(get("/v1/models", "wrong"), 401, "invalid_api_key");
+  wrong(get("/v1/elsewhere"), 404, "unknown_url");
+  wrong(get("/v1/chat/completions"), 405, "method_not_allowed");
+  wrong(s.Chat(Body("x"), ""), 401, "invalid_api_key");
+  wrong(s.Chat(Body("x", "", "none")), 404, "model_not_found");
+  wrong(s.Chat(Body("x", ",\"n\":2")), 400, "unsupported_value");
+  wrong(s.Chat("{"), 400, "invalid_json");
+  wrong(s.Chat(std::string(300 * 1024, ' ')), 413, "request_too_large");
+  wrong(s.rig->Ask(s.rig->openai(), "no HTTP at all\r\n\r\n"), 400, "unreadable_request");
+  EXPECT_EQ(get("/health").status, 200);
+  EXPECT_NE(get("/metrics").body.find("ryeglade_api_turned_away_total{reason=\"invalid_json\"} 1"),
+            std::string::npos);
+  EXPECT_EQ(s.rig->witness().attempts, 0U);
+}
+
+// One `error` event, then the connection ends without [DONE] and without the last chunk; nothing is sent
+// again.
+TEST(OpenAiFront, AStreamThatBreaksHasOneEnd) {
+  for (const char* fault : {"break", "error-event", "no-done"}) {
+    Story s({}, "", 2);
+    const Reply r = s.Chat(Body(std::string("#fault=") + fault, R"(,"stream":true)"));
+    EXPECT_EQ(r.status, 200);
+    EXPECT_FALSE(r.whole) << fault;
+    const Events events = Read(r.body);
+    EXPECT_TRUE(events.error && !events.done) << fault;
+    EXPECT_FALSE(events.text.empty());
+    const Reply whole = s.Chat(Body(std::string("#fault=") + fault));
+    EXPECT_EQ(whole.status, 502) << fault;
+    EXPECT_EQ(json::parse(whole.body)["error"]["code"], "upstream_broken");
+    EXPECT_EQ(s.rig->witness().attempts, 2U) << fault;
+    const ledger::Row row = s.Ledger();
+    EXPECT_EQ(In(row, ledger::Column::kBroken), 2U) << fault;
+    EXPECT_EQ(row.open(), 0U);
+    EXPECT_GT(row.estimated.answer + row.reported.answer, 0);
+  }
+}
+
+TEST(OpenAiFront, WhatFailsBeforeTheFirstEventIsAskedElsewhere) {
+  for (const char* fault : {"reset-once", "busy-once", "error-once"}) {
+    Story s({}, "", 2);
+    const std::string body = Body(std::string("#fault=") + fault);
+    const Reply r = s.Chat(body);
+    EXPECT_EQ(r.status, 200) << fault;
+    EXPECT_EQ(json::parse(r.body)["choices"][0]["message"]["content"], Wanted(body));
+    EXPECT_EQ(s.rig->witness().attempts, 2U);
+    EXPECT_EQ(s.rig->witness().two_at_once, 0U);
+  }
+}
+
+TEST(OpenAiFront, EachFailureHasItsStatus) {
+  Story s({}, "", 2);
+  const auto code = [&](const std::string& fault, int status) {
+    const Reply r = s.Chat(Body("#fault=" + fault));
+    EXPECT_EQ(r.status, status) << fault << r.body;
+    return json::parse(r.body)["error"]["message"].get<std::string>();
+  };
+  EXPECT_EQ(code("bad-request", 400), "stand-in says 400");
+  EXPECT_EQ(s.rig->witness().attempts, 1U);  // nobody else is asked
+  code("error-first", 503);  // the module refuses once nobody is left to ask
+  const Reply refused = s.Chat(Body("#fault=busy"));
+  EXPECT_EQ(refused.status, 503);
+  EXPECT_GE(std::stoi(refused.Header("retry-after")), 1);  // the replica's own word
+  EXPECT_GE(std::stoi(refused.Header("retry-after-ms")), 1000);
+  const Reply late = s.Chat(Body("#fault=silent"), "Authorization: Bearer k\r\nx-deadline-ms: 700\r\n");
+  EXPECT_GE(late.status, 503);
+  EXPECT_LT(late.ended - late.started, 5'000'000);
+}
+
+TEST(OpenAiFront, UsageThatLiesCountsNowhereButInItsOwnColumn) {
+  Story s;
+  const std::vector<std::pair<std::string, ledger::UsageFault>> lies = {
+      {"no-usage", ledger::UsageFault::kAbsent},
+      {"usage-negative", ledger::UsageFault::kNegative},
+      {"usage-fractional", ledger::UsageFault::kFractional},
+      {"usage-huge", ledger::UsageFault::kHuge},
+      {"usage-string", ledger::UsageFault::kNotANumber},
+      {"usage-twice", ledger::UsageFault::kTwice},
+      {"usage-total", ledger::UsageFault::kTotal},
+      {"usage-over-limit", ledger::UsageFault::kOverLimit},
+      {"usage-contradicts", ledger::UsageFault::kContradicts}};
+  for (const auto& [word, fault] : lies) {
+    EXPECT_EQ(s.Chat(Body("#fault=" + word, R"(,"stream":true,"max_tokens":40)")).status, 200);
+  }
+  const ledger::Row row = s.Ledger();
+  EXPECT_EQ(In(row, ledger::Column::kServed), lies.size());
+  EXPECT_EQ(row.reported.prompt + row.reported.answer + row.reported.kept, 0);
+  EXPECT_LE(row.estimated.answer, 40.0 * static_cast<double>(lies.size()));
+  for (const auto& [word, fault] : lies)
+    EXPECT_EQ(row.usage_faults.at(static_cast<std::size_t>(fault)), 1U) << word;
+}
+
+TEST(OpenAiFront, AClientThatLeavesFreesTheReplicaAndIsSettledOnce) {
+  StandInOptions slow;
+  slow.per_token = 200'000;
+  Story s(slow);
+  bool done = false;
+  s.rig->client().Ask(
+      s.rig->openai(),
+      Post("/v1/chat/completions", "Authorization: Bearer k\r\n", Body("x", R"(,"stream":true)")), 600'000,
+      [&](const Reply&) { done = true; });
+  EXPECT_TRUE(s.rig->Until([&] { return done; }, 20'000'000));
+  const auto running = [&] {
+    int n = 0;
+    for (const auto& [prompt, count] : s.rig->witness().running) n += count;
+    return n;
+  };
+  EXPECT_TRUE(s.rig->Until([&] { return running() == 0; }, 10'000'000));  // its answer would take 13 s
+  const ledger::Row row = s.Ledger();
+  EXPECT_EQ(In(row, ledger::Column::kClientLeft), 1U);
+  EXPECT_EQ(row.open(), 0U);
+  EXPECT_GT(row.estimated.answer, 0);
+}
+
+TEST(OpenAiFront, LimitsBindAndSayWhenToComeBack) {
+  Story s({}, "requests_per_min = 3\ntokens_per_min = 100000");
+  for (int i = 0; i < 3; ++i) {
+    const Reply r = s.Chat(Body("x", R"(,"max_tokens":10)"));
+    EXPECT_EQ(r.status, 200);
+    EXPECT_EQ(r.Header("x-ratelimit-limit-requests"), "3");
+    EXPECT_EQ(r.Header("x-ratelimit-remaining-requests"), std::to_string(2 - i));
+  }
+  const Reply r = s.Chat(Body("x", R"(,"max_tokens":10)"));
+  EXPECT_EQ(r.status, 429);
+  EXPECT_EQ(json::parse(r.body)["error"]["code"], "rate_limit_exceeded");
+  EXPECT_GE(std::stoi(r.Header("retry-after")), 1);
+  EXPECT_EQ(s.Chat(Body("x", R"(,"max_tokens":200000)")).status, 429);
+  const ledger::Row row = s.Ledger();
+  EXPECT_EQ(row.admitted, 3U);
+  EXPECT_EQ(row.reported.answer, 30);
+}
+
+TEST(OpenAiFront, TokensSpentInTheMiddleOfAnAnswerEndItOnce) {
+  StandInOptions long_winded;
+  long_winded.tokens = 4000;
+  long_winded.per_token = 100;
+  Story s(long_winded, "tokens_per_min = 700");  // 512 are reserved for an answer without max_tokens
+  const Reply r = s.Chat(Body("x", R"(,"stream":true)"));
+  EXPECT_EQ(r.status, 200);
+  EXPECT_FALSE(r.whole);
+  const Events events = Read(r.body);
+  EXPECT_TRUE(events.error && !events.done);
+  EXPECT_NE(r.body.find("tokens_spent"), std::string::npos);
+  EXPECT_EQ(In(s.Ledger(), ledger::Column::kCut), 1U);
+}
+
+TEST(OpenAiFront, AKeyRevokedWhileItsStreamRunsEndsIt) {
+  StandInOptions slow;
+  slow.per_token = 100'000;
+  Story s(slow);
+  Reply begun, held;
+  int done = 0;
+  const auto ask = [&](Reply& to, const std::string& more) {
+    s.rig->client().Ask(s.rig->openai(),
+                        Post("/v1/chat/completions", "Authorization: Bearer k\r\n", Body("x" + std::to_string(more.size()), more)),
+                        30'000'000, [&](const Reply& r) {
+                          to = r;
+                          ++done;
+                        });
+  };
+  ask(begun, R"(,"stream":true)");
+  ask(held, "");
+  s.rig->Until([] { return false; }, 1'000'000);
+  keys::Keyring other;
+  other.Add(keys::KeyFromText("other", "o"));
+  other.Save(s.rig->node().directory() + "/keys.toml");
+  s.rig->node().Signal(SIGHUP);
+  EXPECT_TRUE(s.rig->Until([&] { return done == 2; }, 20'000'000));
+  EXPECT_NE(begun.body.find("key_revoked"), std::string::npos);
+  EXPECT_FALSE(begun.whole);
+  EXPECT_EQ(held.status, 401);
+  EXPECT_EQ(s.Chat(Body("x")).status, 401);
+  EXPECT_EQ(s.Chat(Body("y", R"(,"max_tokens":1)"), "Authorization: Bearer o\r\n").status, 200);
+  // A file that is wrong changes nothing.
+  std::ofstream(s.rig->node().directory() + "/keys.toml") << "[[key]]\nid = 7\n";
+  s.rig->node().Signal(SIGHUP);
+  s.rig->Until([&] { return s.rig->node().Log().find("reload-failed") != std::string::npos; }, 10'000'000);
+  EXPECT_EQ(s.Chat(Body("z", R"(,"max_tokens":1)"), "Authorization: Bearer o\r\n").status, 200);
+  EXPECT_EQ(In(s.Ledger(), ledger::Column::kCut), 2U);
+}
+
+// The same request at the same moment under two keys is two requests, each answered and entered once.
+TEST(OpenAiFront, TheSameRequestUnderTwoKeys) {
+  RigOptions o;
+  o.program = Program();
+  o.replicas.resize(2);
+  o.key = "k";
+  Rig rig(o);
+  keys::Keyring two;
+  two.Add(keys::KeyFromText("one", "k"));
+  two.Add(keys::KeyFromText("two", "other"));
+  two.Save(rig.node().directory() + "/keys.toml");
+  rig.node().Signal(SIGHUP);
+  ASSERT_TRUE(rig.Until([&] { return rig.node().Log().find("keys-reloaded keys=2") != std::string::npos; }, 10'000'000));
+  const std::string body = Body("the same", R"(,"max_tokens":10)");
+  std::vector<std::string> answers;
+  for (const char* key : {"k", "other"}) {
+    rig.client().Ask(rig.openai(), Post("/v1/chat/completions", std::string("Authorization: Bearer ") + key + "\r\n", body),
+                     30'000'000, [&](const Reply& r) { answers.push_back(json::parse(r.body)["choices"].dump()); });
+  }
+  ASSERT_TRUE(rig.Until([&] { return answers.size() == 2; }, 30'000'000));
+  EXPECT_EQ(answers[0], answers[1]);
+  const auto rows = ledger::RowsFromJson(rig.Ledger());
+  ASSERT_EQ(rows.size(), 2U);
+  for (const auto& [id, row] : rows) EXPECT_EQ(In(row, ledger::Column::kServed), 1U) << id.first;
+}
+
+TEST(OpenAiFront, AConnectionFromOutsideTheNetworksIsClosed) {
+  RigOptions o;
+  o.program = Program();
+  o.replicas.resize(1);
+  o.more_settings = "";
+  o.openai_listen = "127.0.0.1:0\"\nnetworks = [\"10.0.0.0/8\"]\nread_within = \"5s";
+  Rig rig(o);
+  EXPECT_EQ(rig.Ask(rig.openai(), "GET /health HTTP/1.1\r\nHost: x\r\n\r\n").status, 0);
+}
+
+}  // namespace
+}  // namespace ryeglade::lab
--- a/tests/ryeglade_process.sh
+++ b/tests/ryeglade_process.sh
@@ -28,6 +28,21 @@
 check "version" 0 "ryeglade " version
 check "help" 0 "usage:" --help
 check "check-config" 0 "ok: 1 classes" check-config --config "$dir/good"
+deploy=$(cd "$(dirname "$0")/../deploy" && pwd)
+sed 's/docs/agent/' "$dir/good" >"$dir/agent"
+echo "${good/\[\{\"name\":\"docs\"\}\]/[{\"name\":\"docs\"\},{\"name\":\"agent\"\}]}" >"$dir/both"
+printf '[openai]\nlisten = "127.0.0.1:0"\nlimitz = 3\n[[openai.model]]\nid = "m"\n' >"$dir/slip.toml"
+printf '[openai]\nlisten = "127.0.0.1:0"\nkeys = "%s/keys"\n[[openai.model]]\nid = "m"\n' "$dir" >"$dir/keys.toml"
+check "example settings" 0 "openai on 127.0.0.1:8080 with 1 models" check-config --config "$dir/both" --settings "$deploy/openai.toml"
+check "class unknown" 1 "openai.toml" check-config --config "$dir/agent" --settings "$deploy/openai.toml"
+check "settings slip" 1 "slip.toml:3: openai.limitz: is not known here; did you mean 'limits'?" serve --config "$dir/good" --settings "$dir/slip.toml"
+check "no key file" 1 "ryeglade key new" serve --config "$dir/good" --settings "$dir/keys.toml"
+check "key new" 0 "rg-" key new --file "$dir/keys" --name desk
+check "key list" 0 "desk" key list --file "$dir/keys"
+check "key unknown" 1 "no key with the id" key revoke --file "$dir/keys" 00000000
+chmod 644 "$dir/keys"
+check "key file open" 1 "chmod 600" key list --file "$dir/keys"
+check "ledger torn" 1 "parse error" ledger "$dir/json"
 check "no command" 2 "no command"
 check "unknown command" 2 "unknown command 'fly'" fly
 check "unknown option" 2 "option" serve --fast
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -316,9 +316,9 @@
   assert(idle.node.Exit() == 0);
   const std::string log = idle.node.Log();
   const auto at = [&](const char* word) {
-    return std::stoll(log.substr(log.rfind('\n', log.find(word)) + 1));
+    return std::stoll(log.substr(log.rfind("ts=", log.find(word)) + 3));
   };
-  assert(at(" stopped") - at(" draining") >= 700);
+  assert(at("event=stopped") - at("event=draining") >= 700);
 }
 
 Conn Watched(const Peer& discovery, const std::string& since) {
@@ -409,10 +409,10 @@
   watch.Chunk(List(4, false, {}).dump() + "\n");
   Conn again = Watched(discovery, "4");
   again.Chunk(List(4, false, {}).dump() + "\n");
-  const std::string word = " watching", log = (node.WaitLog("why=silent"), usleep(300'000), node.Log());
+  const std::string word = "event=watching", log = (node.WaitLog("why=silent"), usleep(300'000), node.Log());
   const std::size_t first = log.find(word), second = log.find(word, first + 1);
   assert(second != std::string::npos);
-  const auto at = [&](std::size_t n) { return std::stoll(log.substr(log.rfind('\n', n) + 1)); };
+  const auto at = [&](std::size_t n) { return std::stoll(log.substr(log.rfind("ts=", n) + 3)); };
   assert(at(second) - at(first) < 4'700);
 }
 
