Add the admin listener: ready, counters, replicas out by hand; share the client port

The client listener's socket gets SO_REUSEPORT before libuv binds it (libuv 1.44 has no flag for it on Linux), so a new process listens beside the old. Counters come from a Tally that streams (served, refused, failed by the class a request came with) and the upstream (attempts written whole) add to, rendered by prometheus-cpp's text serializer. A replica out by hand is told to the module as a list entry that drains, whatever the lists say, and once back as one that has just started, so that the module's cold ramp applies; twice out needs once back, an unknown name is a 404.

--- a/include/ryeglade/router.h
+++ b/include/ryeglade/router.h
@@ -278,10 +278,11 @@
   void Observe(Observer* observer);
 
   // For dashboards and tests; none of these changes anything.
-  std::size_t held() const;                // requests waiting at this node
-  std::size_t open() const;                // requests taken and not finished with
-  int in_flight(ReplicaId replica) const;  // this node's attempts out at a replica
-  double cap(ReplicaId replica) const;     // this node's present cap there; 0: nothing new is sent
+  std::size_t held() const;                   // requests waiting at this node
+  std::size_t open() const;                   // requests taken and not finished with
+  int in_flight(ReplicaId replica) const;     // this node's attempts out at a replica
+  double cap(ReplicaId replica) const;        // this node's present cap there; 0: nothing new is sent
+  Time rests_until(ReplicaId replica) const;  // after failures it gets nothing new before then; 0: never
   double cap_total() const;
 
  private:
--- /dev/null
+++ b/src/admin/counters.cpp
@@ -0,0 +1,62 @@
+#include "admin/counters.h"
+
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+
+#include <utility>
+
+namespace ryeglade {
+namespace {
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+MetricFamily Family(const char* name, const char* help, MetricType type) {
+  MetricFamily family;
+  family.name = name;
+  family.help = help;
+  family.type = type;
+  return family;
+}
+
+void Add(MetricFamily& family, double value, const std::string& tier = "") {
+  ClientMetric metric;
+  if (!tier.empty()) metric.label.push_back({"tier", tier});
+  (family.type == MetricType::Counter ? metric.counter.value : metric.gauge.value) = value;
+  family.metric.push_back(std::move(metric));
+}
+
+}  // namespace
+
+std::string CountersText(const CounterView& view) {
+  MetricFamily success = Family("node_success", "Requests served, by class", MetricType::Counter);
+  MetricFamily busy = Family("node_busy", "Requests refused, by class", MetricType::Counter);
+  MetricFamily failure = Family("node_failure", "Requests failed, by class", MetricType::Counter);
+  std::map<std::string, Tally::Ends> rows = view.tally->by_class;
+  for (const std::string& name : view.classes) rows.try_emplace(name);
+  for (const auto& [name, ends] : rows) {
+    Add(success, static_cast<double>(ends.success), name);
+    Add(busy, static_cast<double>(ends.busy), name);
+    Add(failure, static_cast<double>(ends.failure), name);
+  }
+  MetricFamily calls =
+      Family("node_backend_calls", "Attempts written whole to model replicas", MetricType::Counter);
+  Add(calls, static_cast<double>(view.tally->backend_calls));
+  MetricFamily inflight = Family("node_inflight", "Requests taken and not yet ended", MetricType::Gauge);
+  Add(inflight, static_cast<double>(view.inflight));
+  MetricFamily listed = Family("node_hosts_listed", "Model replicas in the list", MetricType::Gauge);
+  Add(listed, static_cast<double>(view.hosts_listed));
+  MetricFamily down =
+      Family("node_hosts_down", "Listed model replicas avoided, by hand or by choice", MetricType::Gauge);
+  Add(down, static_cast<double>(view.hosts_down));
+  MetricFamily ok = Family("node_reconfig_ok", "Settings files taken at SIGHUP", MetricType::Counter);
+  Add(ok, static_cast<double>(view.tally->reconfig_ok));
+  MetricFamily failed =
+      Family("node_reconfig_failed", "Settings files turned down at SIGHUP", MetricType::Counter);
+  Add(failed, static_cast<double>(view.tally->reconfig_failed));
+  return prometheus::TextSerializer().Serialize(
+      {success, busy, failure, calls, inflight, listed, down, ok, failed});
+}
+
+}  // namespace ryeglade
--- /dev/null
+++ b/src/admin/counters.h
@@ -0,0 +1,21 @@
+// The node's counters in the Prometheus text format, as the admin listener serves them.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/tally.h"
+
+namespace ryeglade {
+
+struct CounterView {
+  const Tally* tally = nullptr;
+  std::vector<std::string> classes;  // in force now; each has a line even before its first request
+  std::uint64_t inflight = 0;        // requests taken and not yet ended
+  std::uint64_t hosts_listed = 0, hosts_down = 0;
+};
+
+std::string CountersText(const CounterView& view);
+
+}  // namespace ryeglade
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -8,6 +8,8 @@
 #include <memory>
 #include <string>
 
+#include "admin/admin_front.h"
+#include "admin/counters.h"
 #include "base/buffers.h"
 #include "base/deadlines.h"
 #include "base/log.h"
@@ -28,10 +30,11 @@
 namespace ryeglade {
 namespace {
 
-constexpr std::size_t kOwnSockets = 24;  // the loop's, the listener, standard streams, some to spare
-constexpr Time kServeOn = 1'000'000;     // after SIGTERM, new requests keep coming for a while
-constexpr Time kAnswerBy = 3'300'000;    // SIGKILL comes no sooner than 3.7 s after SIGTERM
-constexpr Time kQuiet = 200'000;         // and the listener closes only once none has come for this long
+// The loop's, the listeners, standard streams, the admin listener's callers, some to spare.
+constexpr std::size_t kOwnSockets = 24 + AdminFront::kSockets;
+constexpr Time kServeOn = 1'000'000;   // after SIGTERM, new requests keep coming for a while
+constexpr Time kAnswerBy = 3'300'000;  // SIGKILL comes no sooner than 3.7 s after SIGTERM
+constexpr Time kQuiet = 200'000;       // and the listener closes only once none has come for this long
 constexpr Time kDrainTick = 50'000;
 
 // What is read from files before there is a loop, so that a file which can't be used leaves nothing open.
@@ -40,7 +43,7 @@
   keys::Keyring keys;
 };
 
-class Node {
+class Node : public AdminPort {
  public:
   Node(const Config& config, const EdgeSettings& settings, Parts parts)
       : settings_(settings),
@@ -56,16 +59,31 @@
               &upstream_,
               &upstream_,
               &upstream_,
-              &discovery_},
+              &discovery_,
+              nullptr,
+              nullptr,
+              &tally_},
         streams_(&core_),
         upstream_(&core_, Share(config) * 45 / 100),
         discovery_(&core_),
         decisions_(&core_),
         front_(&core_, &streams_),
-        downstream_(
-            &core_, &front_,
-            {.listen = config.listen, .most_sockets = ClientSockets(config, settings), .admits = {}}) {
+        downstream_(&core_, &front_,
+                    {.listen = config.listen,
+                     .share_port = true,
+                     .most_sockets = ClientSockets(config, settings),
+                     .admits = {}}),
+        admin_(this) {
     front_.Use(&downstream_);
+    if (!config.management.empty()) {
+      Downstream::Options o;
+      o.listen = config.management;
+      o.most_sockets = AdminFront::kSockets;
+      o.most_body = 4096;
+      o.read_within = AdminFront::kReadWithin;
+      admin_down_ = std::make_unique<Downstream>(&core_, &admin_, std::move(o));
+      admin_.Use(admin_down_.get());
+    }
     if (settings_.openai.on) SetUpOpenAi(config, std::move(parts.keys));
     if (const TimelineSettings& t = settings_.timeline; t.on()) {
       timeline::RecorderOptions o;
@@ -106,6 +124,16 @@
       End();
       throw;
     }
+    if (admin_down_ != nullptr) {
+      try {
+        Log(Level::kInfo, "listening-admin", {{"addr", admin_down_->Listen()}});
+      } catch (const std::runtime_error&) {
+        Stop();
+        End();
+        throw;
+      }
+    }
+    taking_ = true;
     Log(Level::kInfo, "listening", {{"addr", listen}, {"name", core_.config->name}});
     discovery_.Known(core_.config->known);
     End();
@@ -205,7 +233,9 @@
         LoadEdgeSettings(settings_.source, ClassNames(core_.config->settings));
       }
       if (openai_ != nullptr) openai_->ReloadKeys();
+      ++tally_.reconfig_ok;
     } catch (const std::runtime_error& e) {
+      ++tally_.reconfig_failed;
       Log(Level::kError, "reload-failed", {{"why", e.what()}});
     }
   }
@@ -236,6 +266,7 @@
 
   void Stop() {
     downstream_.Close();
+    if (admin_down_ != nullptr) admin_down_->Close();
     if (openai_ != nullptr) openai_down_->Close();
     upstream_.Close();
     discovery_.Close();
@@ -246,7 +277,26 @@
     if (settings_.timeline.ring > 0) uv_close(reinterpret_cast<uv_handle_t*>(&usr2_), nullptr);
   }
 
+  // The admin listener's side.
+  bool taking_clients() const override { return taking_ && !downstream_.draining(); }
+  std::string CountersText() const override {
+    CounterView view;
+    view.tally = &tally_;
+    for (const auto& c : core_.config->settings.classes) view.classes.push_back(c.name);
+    view.inflight = streams_.size();
+    view.hosts_listed = discovery_.listed();
+    for (const auto& [id, yes] : discovery_.hosts()) {
+      if (discovery_.avoided(id) || decisions_.router().rests_until(id) > Now()) ++view.hosts_down;
+    }
+    return ryeglade::CountersText(view);
+  }
+  bool Hold(std::string_view instance, bool out) override {
+    return discovery_.Hold(std::string(instance), out);
+  }
+
   EdgeSettings settings_;
+  Tally tally_;
+  bool taking_ = false;
   uv_loop_t loop_{};
   Buffers buffers_;
   Deadlines deadlines_;
@@ -258,6 +308,8 @@
   Decisions decisions_;
   PlatformFront front_;
   Downstream downstream_;
+  AdminFront admin_;
+  std::unique_ptr<Downstream> admin_down_;  // where the configuration names a management address
   // Only where the settings ask for it.
   limits::Networks openai_networks_;
   std::unique_ptr<OpenAiFront> openai_;
--- a/src/base/tcp.cpp
+++ b/src/base/tcp.cpp
@@ -1,6 +1,7 @@
 #include "base/tcp.h"
 
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <array>
 #include <cerrno>
@@ -34,6 +35,21 @@
   return uv_ip4_addr(host.c_str(), static_cast<int>(port), reinterpret_cast<sockaddr_in*>(address)) == 0;
 }
 
+int OpenShared(uv_tcp_t* listener, const sockaddr_storage& address) {
+  const int fd = socket(address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) return uv_translate_sys_error(errno);
+  const int on = 1;
+  if (setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on) != 0 ||
+      setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0) {
+    const int error = uv_translate_sys_error(errno);
+    close(fd);
+    return error;
+  }
+  const int error = uv_tcp_open(listener, fd);
+  if (error != 0) close(fd);
+  return error;
+}
+
 Tcp* Tcp::New(uv_loop_t* loop, Buffers* pool, TcpOwner* owner, Handle handle) {
   Tcp* tcp = new Tcp(pool, owner, handle);
   uv_tcp_init(loop, &tcp->tcp_);
--- a/src/base/tcp.h
+++ b/src/base/tcp.h
@@ -24,6 +24,11 @@
 
 bool ParseAddress(const std::string& text, sockaddr_storage* address);  // "ip:port", "[ip]:port"
 
+// Gives `listener` a socket of the address's family on which SO_REUSEPORT is set, before it is bound: a
+// second process may then listen on the same address, and the kernel shares new connections out between
+// them. A libuv error code; 0: done.
+int OpenShared(uv_tcp_t* listener, const sockaddr_storage& address);
+
 class Tcp {
  public:
   static Tcp* New(uv_loop_t* loop, Buffers* pool, TcpOwner* owner, Handle handle);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -5,6 +5,7 @@
 #include "base/runtime.h"
 #include "core/dialect.h"
 #include "core/ports.h"
+#include "core/tally.h"
 #include "settings/config.h"
 
 namespace ryeglade {
@@ -21,6 +22,7 @@
   MembershipPort* membership = nullptr;
   StreamTap* stream_tap = nullptr;          // null: nobody listens, at no cost
   MembershipTap* membership_tap = nullptr;  // the same
+  Tally* tally = nullptr;                   // what was done, for the counters; never null once put together
 };
 
 }  // namespace ryeglade
--- a/src/core/discovery.cpp
+++ b/src/core/discovery.cpp
@@ -266,7 +266,10 @@
     e.id = IdOf(name->get<std::string>());
     if (e.phase == Phase::kGone) {
       left.push_back(e.id);
+      told_.erase(e.id);
     } else {
+      told_[e.id] = e;
+      Overlay(name->get_ref<const std::string&>(), e);
       core_->hosts->SetHost(e.id, host_port);
       if (core_->membership_tap != nullptr)
         core_->membership_tap->OnMember(Now(), e, name->get_ref<const std::string&>(), host_port);
@@ -279,7 +282,7 @@
     for (const ReplicaId id : left) hosts_.erase(id);
   } else {
     for (const auto& [id, yes] : hosts_) {
-      if (!listed.contains(id)) left.push_back(id);
+      if (!listed.contains(id)) left.push_back(id), told_.erase(id);
     }
     hosts_ = std::move(listed);
   }
@@ -307,4 +310,37 @@
   return true;
 }
 
+// What an operator said comes before what the lists say.
+void Discovery::Overlay(const std::string& name, policy::ReplicaEntry& e) const {
+  if (held_.contains(name) && e.phase == Phase::kReady) e.phase = Phase::kDraining;
+  if (const auto back = back_.find(name); back != back_.end())
+    e.started_at = std::max(e.started_at, back->second);
+}
+
+bool Discovery::held(ReplicaId id) const {
+  const auto name = names_.find(id);
+  return name != names_.end() && held_.contains(name->second);
+}
+
+bool Discovery::avoided(ReplicaId id) const {
+  const auto told = told_.find(id);
+  return held(id) || (told != told_.end() && told->second.phase != Phase::kReady);
+}
+
+bool Discovery::Hold(const std::string& instance, bool out) {
+  const auto id = ids_.find(instance);
+  const bool listed = id != ids_.end() && told_.contains(id->second);
+  if (!listed && !held_.contains(instance)) return false;
+  if (out) {
+    held_.try_emplace(instance, Now());
+  } else if (held_.erase(instance) > 0) {
+    back_[instance] = Now();
+  }
+  if (!listed) return true;
+  ReplicaEntry e = told_.at(id->second);
+  Overlay(instance, e);
+  core_->events->Post(ReplicaList{ListScope::kDelta, static_cast<std::uint32_t>(generation_), {e}});
+  return true;
+}
+
 }  // namespace ryeglade
--- a/src/core/discovery.h
+++ b/src/core/discovery.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -27,6 +28,14 @@
   // versions of the one say nothing about versions of the other.
   void MoveTo(const std::string& address);
   bool ready() const override { return !hosts_.empty(); }
+  // An operator leaves `instance` out (true) or lets it serve again (false). While out, the module is told it
+  // drains, whatever the lists say; once back, it is told it has just started, so that it is used again
+  // cold. Twice out needs once back. False: no host of that name is known, and nothing changes.
+  bool Hold(const std::string& instance, bool out);
+  std::size_t listed() const { return hosts_.size(); }
+  const std::map<policy::ReplicaId, bool>& hosts() const { return hosts_; }
+  bool held(policy::ReplicaId id) const;
+  bool avoided(policy::ReplicaId id) const;  // out by hand, or not ready as the lists tell
   void Close();
 
   // Alike at every node, whatever order the names come in (but for a clash of hashes, which gets the next
@@ -57,6 +66,7 @@
   void Drop(Handle call);
   bool Apply(std::string_view text, bool single, bool current);
   bool Apply(const nlohmann::json& list, policy::ListScope scope, const char* source);
+  void Overlay(const std::string& name, policy::ReplicaEntry& e) const;
   void Dark(const char* source, const char* why);
   int IndexOf(const std::vector<std::string>& names, const nlohmann::json& entry, const char* key) const;
   static const http_parser_settings& Callbacks();
@@ -71,7 +81,10 @@
   std::uint64_t generation_ = 0;
   std::map<std::string, policy::ReplicaId> ids_;
   std::map<policy::ReplicaId, std::string> names_;
-  std::map<policy::ReplicaId, bool> hosts_;  // listed now
+  std::map<policy::ReplicaId, bool> hosts_;                 // listed now
+  std::map<policy::ReplicaId, policy::ReplicaEntry> told_;  // each listed host as the lists last told it
+  std::map<std::string, Time> held_;                        // out by hand; by name, since ids are reused
+  std::map<std::string, Time> back_;  // back by hand, at this time: counts as started then
 };
 
 }  // namespace ryeglade
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -24,6 +24,9 @@
   Stream stream{std::move(request)};
   stream.sink = sink;
   stream.client = client;
+  const auto& classes = core_->config->settings.classes;
+  const auto cls = static_cast<std::size_t>(stream.request.arrival.cls);
+  if (cls < classes.size()) stream.class_name = classes[cls].name;
   const Handle handle = table_.Add(std::move(stream));
   Stream& s = *table_.Get(handle);
   s.request.arrival.id = handle;
@@ -83,7 +86,7 @@
   if (s == nullptr) return;
   Log(Level::kInfo, "client-gone", {{"id", s->request.call_id}, {"started", s->started ? 1 : 0}});
   core_->events->Post(policy::ClientGone{handle});
-  End(handle, &client);
+  End(handle, &client, Ended::kGone);
 }
 
 void Streams::Pause(Handle handle, bool pause) {
@@ -103,12 +106,12 @@
 
 void Streams::Whole(Handle handle) {
   Handle client = 0;
-  if (StreamSink* sink = End(handle, &client)) sink->OnWhole(client);
+  if (StreamSink* sink = End(handle, &client, Ended::kServed)) sink->OnWhole(client);
 }
 
 void Streams::Broken(Handle handle) {
   Handle client = 0;
-  if (StreamSink* sink = End(handle, &client)) sink->OnBroken(client);
+  if (StreamSink* sink = End(handle, &client, Ended::kFailed)) sink->OnBroken(client);
 }
 
 void Streams::Refuse(Handle handle, Time retry_after) {
@@ -116,7 +119,7 @@
   const Stream* s = table_.Get(handle);
   if (s != nullptr && s->started) return;
   const Time told = s != nullptr ? std::max(s->stay_away, retry_after) : retry_after;
-  if (StreamSink* sink = End(handle, &client)) sink->OnRefused(client, told);
+  if (StreamSink* sink = End(handle, &client, Ended::kRefused)) sink->OnRefused(client, told);
 }
 
 void Streams::Fail(Handle handle) {
@@ -124,14 +127,14 @@
   const Stream* s = table_.Get(handle);
   if (s == nullptr || s->started) return;
   const policy::Outcome last = s->last_outcome;
-  if (StreamSink* sink = End(handle, &client)) sink->OnFailed(client, last);
+  if (StreamSink* sink = End(handle, &client, Ended::kFailed)) sink->OnFailed(client, last);
 }
 
 void Streams::Rejected(Handle handle, int status, const std::string& body) {
   Handle client = 0;
   const Stream* s = table_.Get(handle);
   if (s == nullptr || s->started) return;
-  if (StreamSink* sink = End(handle, &client)) sink->OnRejected(client, status, body);
+  if (StreamSink* sink = End(handle, &client, Ended::kFailed)) sink->OnRejected(client, status, body);
 }
 
 // The client asks for the rest as a new stream once its connection ends without the last chunk.
@@ -142,9 +145,13 @@
 }
 
 // Guards against an upstream request that outlives its stream: nobody would ever read its answer.
-StreamSink* Streams::End(Handle handle, Handle* client) {
+StreamSink* Streams::End(Handle handle, Handle* client, Ended how) {
   Stream* s = table_.Get(handle);
   if (s == nullptr) return nullptr;
+  if (how != Ended::kGone && core_->tally != nullptr) {
+    Tally::Ends& ends = core_->tally->by_class[s->class_name];
+    ++(how == Ended::kServed ? ends.success : how == Ended::kRefused ? ends.busy : ends.failure);
+  }
   core_->deadlines->Cancel(s->guard);
   *client = s->client;
   StreamSink* sink = s->sink;
--- a/src/core/streams.h
+++ b/src/core/streams.h
@@ -44,6 +44,7 @@
   policy::Outcome last_outcome = policy::Outcome::kError;  // of its attempts
   Time stay_away = 0;                                      // the longest that a host told
   DeadlineId guard{};
+  std::string class_name{};  // as it came: the class may be gone from the settings before it ends
 };
 
 class Streams : public VerdictPort, public AnswerPort {
@@ -80,7 +81,9 @@
   void Guard(Handle stream);
   void MoveOn();
   void Bound(Stream& stream, Handle handle, Time deadline);
-  StreamSink* End(Handle stream, Handle* client);  // frees the slot; null: it was free already
+  enum class Ended : unsigned char { kServed, kRefused, kFailed, kGone };
+  // Frees the slot and counts how it ended; null: it was free already.
+  StreamSink* End(Handle stream, Handle* client, Ended how);
 
   Core* core_;
   Slots<Stream> table_;
--- a/src/core/upstream.cpp
+++ b/src/core/upstream.cpp
@@ -244,6 +244,7 @@
   if (const Stream* s = core_->answers->Get(r.stream)) {
     ok = c.tcp->Write(core_->dialect->RequestHead(s->request, host_port, s->deadline - Now()));
     for (const std::string_view piece : s->request.body.Pieces()) ok = ok && c.tcp->Write(piece);
+    if (ok && core_->tally != nullptr) ++core_->tally->backend_calls;
   } else if (r.stream == 0) {
     ok = c.tcp->Write(core_->dialect->ProbeHead(host_port));
   }
--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -88,7 +88,8 @@
   uv_tcp_init(core_->loop, &listener_);
   listener_.data = this;
   listening_ = true;
-  int error = uv_tcp_bind(&listener_, reinterpret_cast<const sockaddr*>(&address), 0);
+  int error = options_.share_port ? OpenShared(&listener_, address) : 0;
+  if (error == 0) error = uv_tcp_bind(&listener_, reinterpret_cast<const sockaddr*>(&address), 0);
   if (error == 0) {
     error = uv_listen(reinterpret_cast<uv_stream_t*>(&listener_), kBacklog, [](uv_stream_t* s, int status) {
       if (status == 0) static_cast<Downstream*>(s->data)->Accept();
--- a/src/http/downstream.h
+++ b/src/http/downstream.h
@@ -42,6 +42,8 @@
  public:
   struct Options {
     std::string listen;  // ip:port; port 0: the kernel chooses
+    // SO_REUSEPORT, so that a new process can listen beside this one during a hot restart.
+    bool share_port = false;
     std::size_t most_sockets = 0;
     std::size_t most_body = std::size_t{256} * 1024;  // bytes
     Time read_within = 2'700'000;  // a whole request, from its first byte or the connection's start
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -1275,6 +1275,10 @@
   const auto* x = impl_->Find(replica);
   return x == nullptr ? 0 : x->cap;
 }
+Time Router::rests_until(ReplicaId replica) const {
+  const auto* x = impl_->Find(replica);
+  return x == nullptr ? 0 : x->blocked_until;
+}
 double Router::cap_total() const { return impl_->cap_total(); }
 
 }  // namespace ryeglade::policy
--- a/src/settings/config.cpp
+++ b/src/settings/config.cpp
@@ -80,6 +80,7 @@
     c.name = file.value("name", "");
     c.listen = file.value("listen", "");
     c.discovery = file.value("discovery", "");
+    c.management = file.value("management", "");
     c.seed = Seed(file);
     if (file.contains("limits")) {
       c.memory_mb = file.at("limits").value("memory_mb", c.memory_mb);
@@ -117,8 +118,12 @@
   told("EDGE_NAME", c.name);
   told("EDGE_LISTEN", c.listen);
   if (!discovery_from_file || c.discovery.empty()) told("EDGE_DISCOVERY", c.discovery);
+  told("EDGE_MANAGEMENT", c.management);
   sockaddr_storage address{};
   if (!ParseAddress(c.listen, &address)) throw ConfigError("listen is not an ip:port: '" + c.listen + "'");
+  if (!c.management.empty() && !ParseAddress(c.management, &address)) {
+    throw ConfigError("management is not an ip:port: '" + c.management + "'");
+  }
   if (!ParseAddress(c.discovery, &address)) {
     throw ConfigError("discovery is not an ip:port: '" + c.discovery + "'");
   }
--- a/src/settings/config.h
+++ b/src/settings/config.h
@@ -22,6 +22,7 @@
   std::string name;
   std::string listen;
   std::string discovery;
+  std::string management;  // the admin listener's ip:port; empty: none
   std::uint64_t seed = 0;
   std::size_t memory_mb = 192;
   std::size_t sockets = 1024;
--- /dev/null
+++ b/tests/operations.cpp
@@ -0,0 +1,120 @@
+// Stories of day-to-day operation: the admin listener, replicas out by hand, a new process beside the old.
+// `operations PROGRAM NAME` plays one of them.
+#include <map>
+
+#include "peers.h"
+
+namespace stories {
+namespace {
+
+std::string program;
+const std::string kNobody = "127.0.0.1:9";
+const nlohmann::json kAdmin = {{"management", "127.0.0.1:0"}};
+
+bool Has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+struct One {  // a node with one upstream host and an admin listener
+  Peer host;
+  Node node{program, List(1, true, {Instance("s-a", host.at())}), kNobody, "push", 1024, 192, "", false,
+            kAdmin};
+};
+
+// Serves one request through `host`, which is called for it.
+void Serves(const Node& node, const Peer& host, const std::string& id) {
+  Conn client = node.Client();
+  client.Send(Ask(id));
+  Conn up = host.Accept();
+  assert(Has(up.Message(), "X-Call-Id: " + id));
+  up.Send(kStream);
+  up.Chunk("data: x\n\n");
+  up.Chunk("");
+  assert(Has(client.Until("0\r\n\r\n"), "data: x"));
+}
+
+// The four calls, what each says, and what is no call at all.
+void Calls() {
+  One w;
+  assert(w.node.admin_port() > 0);
+  assert(w.node.Call("GET", "/control/ready").rfind("HTTP/1.1 200", 0) == 0);
+  Serves(w.node, w.host, "1");
+  const std::string counters = w.node.Call("GET", "/control/counters");
+  assert(Has(counters, "node_success{tier=\"docs\"} 1\n"));
+  assert(Has(counters, "node_busy{tier=\"docs\"} 0\n") && Has(counters, "node_failure{tier=\"docs\"} 0\n"));
+  assert(Has(counters, "node_backend_calls 1\n") && Has(counters, "node_inflight 0\n"));
+  assert(Has(counters, "node_hosts_listed 1\n") && Has(counters, "node_hosts_down 0\n"));
+  assert(Has(counters, "node_reconfig_ok 0\n") && Has(counters, "node_reconfig_failed 0\n"));
+  assert(w.node.Call("POST", "/control/model-replicas/s-z/offline").rfind("HTTP/1.1 404", 0) == 0);
+  assert(w.node.Call("GET", "/control/model-replicas/s-a/offline").rfind("HTTP/1.1 405", 0) == 0);
+  assert(w.node.Call("POST", "/control/ready").rfind("HTTP/1.1 405", 0) == 0);
+  assert(w.node.Call("GET", "/control/other").rfind("HTTP/1.1 404", 0) == 0);
+  assert(w.node.Call("POST", "/control/model-replicas/s-a/reboot").rfind("HTTP/1.1 404", 0) == 0);
+  Conn garbled = Dial(w.node.admin_port());
+  garbled.Send("\x01\x02 nonsense\r\n\r\n");
+  assert(garbled.ToEnd().rfind("HTTP/1.1 400", 0) == 0);
+}
+
+// Out by hand, a host gets nothing new however the list reads; twice out needs once back; back, it serves.
+void ByHand() {
+  One w;
+  Serves(w.node, w.host, "1");
+  assert(w.node.Call("POST", "/control/model-replicas/s-a/offline").rfind("HTTP/1.1 200", 0) == 0);
+  assert(w.node.Call("POST", "/control/model-replicas/s-a/offline").rfind("HTTP/1.1 200", 0) == 0);
+  assert(Has(w.node.Call("GET", "/control/counters"), "node_hosts_down 1\n"));
+  Conn client = w.node.Client();
+  client.Send(Ask("2", "{\"stream\":true}", "0.800"));
+  assert(!w.host.Called(600));  // nothing is sent there
+  assert(client.Message().rfind("HTTP/1.1 503", 0) == 0);
+  assert(w.node.Call("POST", "/control/model-replicas/s-a/online").rfind("HTTP/1.1 200", 0) == 0);
+  assert(Has(w.node.Call("GET", "/control/counters"), "node_hosts_down 0\n"));
+  Serves(w.node, w.host, "3");
+  const std::string counters = w.node.Call("GET", "/control/counters");
+  assert(Has(counters, "node_success{tier=\"docs\"} 2\n") && Has(counters, "node_busy{tier=\"docs\"} 1\n"));
+}
+
+// Callers that hold connections and say nothing, more of them than the listener keeps, leave the next call
+// answered; and so does a client that keeps the node's front busy.
+void SlowCallers() {
+  One w;
+  std::vector<Conn> idle;
+  for (int i = 0; i < 40; ++i) {
+    idle.push_back(Dial(w.node.admin_port()));
+    if (i % 2 == 0) idle.back().Send("GET /control/rea");
+  }
+  Conn client = w.node.Client();
+  client.Send(Ask("1"));
+  Conn up = w.host.Accept();  // a stream in flight
+  Conn call = Dial(w.node.admin_port());
+  call.Send("GET /control/ready HTTP/1.1\r\nHost: node\r\n\r\n");
+  assert(call.Readable(3000));
+  assert(call.ToEnd().rfind("HTTP/1.1 200", 0) == 0);
+}
+
+// A second process listens on the same address as the first; the first drains on SIGTERM, and the second
+// serves on.
+void Beside() {
+  Peer host;
+  Node old(program, List(1, true, {Instance("s-a", host.at())}), kNobody, "push", 1024, 192, "", false,
+           kAdmin);
+  const std::string at = "127.0.0.1:" + std::to_string(old.port());
+  Node young(program, List(1, true, {Instance("s-a", host.at())}), kNobody, "push", 1024, 192, "", false,
+             {{"management", "127.0.0.1:0"}, {"listen", at}});
+  assert(young.port() == old.port() && young.admin_port() != old.admin_port());
+  assert(young.Call("GET", "/control/ready").rfind("HTTP/1.1 200", 0) == 0);
+  old.Term();
+  assert(old.Exit() == 0);
+  Serves(young, host, "1");
+}
+
+}  // namespace
+}  // namespace stories
+
+int main(int argc, char** argv) {
+  using namespace stories;
+  const std::map<std::string, void (*)()> all = {
+      {"calls", Calls}, {"by-hand", ByHand}, {"slow-callers", SlowCallers}, {"beside", Beside}};
+  signal(SIGPIPE, SIG_IGN);
+  assert(argc == 3 && all.contains(argv[2]));
+  program = argv[1];
+  all.at(argv[2])();
+  std::printf("ok %s\n", argv[2]);
+}
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -159,7 +159,7 @@
  public:
   Node(const std::string& program, const nlohmann::json& known, const std::string& discovery,
        const std::string& mode = "push", int sockets = 1024, int memory_mb = 192,
-       const std::string& variable = "", bool resume = false) {
+       const std::string& variable = "", bool resume = false, const nlohmann::json& extra = {}) {
     config_ = {{"name", "n0"},
                {"listen", "127.0.0.1:0"},
                {"discovery", discovery},
@@ -180,6 +180,7 @@
                  {"stats", {{"how", "probe"}, {"fields", {"qps", "queue", "x0"}}}},
                  {"limits", {{"max-attempts", 3}, {"idle-close", 5000000}, {"connect-timeout", 2000000}}},
                  {"obligations", {{"ask-within", 500000}}}}}};
+    if (extra.is_object()) config_.update(extra);
     char name[] = "/tmp/ryeglade-story-XXXXXX";
     const int fd = mkstemp(name);
     assert(fd >= 0);
@@ -202,6 +203,16 @@
     WaitLog(word);
     const std::string log = Log();
     port_ = std::atoi(log.c_str() + log.find(word) + word.size());
+    const std::string admin = "listening-admin addr=127.0.0.1:";
+    if (log.find(admin) != std::string::npos)
+      admin_ = std::atoi(log.c_str() + log.find(admin) + admin.size());
+  }
+  int admin_port() const { return admin_; }
+  // One call on the admin listener: its status line and body.
+  std::string Call(const std::string& method, const std::string& path) const {
+    Conn c = Dial(admin_);
+    c.Send(method + " " + path + " HTTP/1.1\r\nHost: node\r\nContent-Length: 0\r\n\r\n");
+    return c.ToEnd();
   }
   ~Node() {
     if (pid_ > 0) {
@@ -251,7 +262,7 @@
   std::string path_, log_;
   nlohmann::json config_;
   pid_t pid_ = -1;
-  int port_ = 0;
+  int port_ = 0, admin_ = 0;
 };
 
 inline std::string Ask(const std::string& id, const std::string& body = "{\"stream\":true}",
