Pass replicas out by hand to the next process through $TMPDIR, and watch it

At fault: the holds lived in Discovery's memory only (discovery.cpp, Hold).

Change: what operators said (out since, back at) is a Holds value with a pure text form (core/holds_model): a head with version and node, a line a name, and 'end'; anything torn, foreign or of another node is passed over whole and logged. StateFile (base/state_file) writes it off the loop's thread, replacing the file whole (the temporary name now carries the pid, as two processes write it), reads it at the start before the loop runs, and polls it every 100 ms, so that a hold put at the new process is also kept by the old one while it drains. Discovery::Adopt tells the module what changes.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -3,9 +3,12 @@
 #include <uv.h>
 
 #include <algorithm>
+#include <cctype>
 #include <csignal>
 #include <cstddef>
+#include <cstdlib>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "admin/admin_front.h"
@@ -13,6 +16,7 @@
 #include "base/buffers.h"
 #include "base/deadlines.h"
 #include "base/log.h"
+#include "base/state_file.h"
 #include "core/core.h"
 #include "core/decisions.h"
 #include "core/discovery.h"
@@ -36,6 +40,7 @@
 constexpr Time kAnswerBy = 3'300'000;  // SIGKILL comes no sooner than 3.7 s after SIGTERM
 constexpr Time kQuiet = 200'000;       // and the listener closes only once none has come for this long
 constexpr Time kDrainTick = 50'000;
+constexpr unsigned kLookForHolds = 100;  // ms: what another process of this node is told counts here soon
 
 // What is read from files before there is a loop, so that a file which can't be used leaves nothing open.
 struct Parts {
@@ -73,8 +78,10 @@
                      .share_port = true,
                      .most_sockets = ClientSockets(config, settings),
                      .admits = {}}),
-        admin_(this) {
+        admin_(this),
+        holds_file_(&loop_, HoldsPath(config), [this](const std::string& text) { TakeHolds(text, false); }) {
     front_.Use(&downstream_);
+    if (const auto text = holds_file_.ReadNow()) TakeHolds(*text, true);
     if (!config.management.empty()) {
       Downstream::Options o;
       o.listen = config.management;
@@ -134,6 +141,7 @@
       }
     }
     taking_ = true;
+    holds_file_.Watch(kLookForHolds);
     Log(Level::kInfo, "listening", {{"addr", listen}, {"name", core_.config->name}});
     discovery_.Known(core_.config->known);
     End();
@@ -265,6 +273,7 @@
   }
 
   void Stop() {
+    holds_file_.Close();
     downstream_.Close();
     if (admin_down_ != nullptr) admin_down_->Close();
     if (openai_ != nullptr) openai_down_->Close();
@@ -291,7 +300,32 @@
     return ryeglade::CountersText(view);
   }
   bool Hold(std::string_view instance, bool out) override {
-    return discovery_.Hold(std::string(instance), out);
+    if (!discovery_.Hold(std::string(instance), out)) return false;
+    holds_file_.Write(EncodeHolds(discovery_.holds(), core_.config->name));
+    return true;
+  }
+
+  // Where a process of this node leaves what operators said for the next: $TMPDIR is shared by both during
+  // a hot restart and is not emptied.
+  static std::string HoldsPath(const Config& config) {
+    const char* dir = std::getenv("TMPDIR");
+    std::string name = config.name.empty() ? "node" : config.name;
+    for (char& c : name) {
+      if (std::isalnum(static_cast<unsigned char>(c)) == 0 && c != '-' && c != '_') c = '_';
+    }
+    return std::string(dir != nullptr && *dir != '\0' ? dir : "/tmp") + "/ryeglade-holds-" + name;
+  }
+
+  // A file that is torn, of another node or not ours at all changes nothing; at the start it is said so.
+  void TakeHolds(const std::string& text, bool at_start) {
+    std::string why;
+    const std::optional<Holds> holds = DecodeHolds(text, core_.config->name, &why);
+    if (!holds) {
+      Log(Level::kWarn, "holds-passed-over", {{"path", holds_file_.path()}, {"why", why}});
+      return;
+    }
+    Log(Level::kInfo, "holds-taken", {{"out", holds->out.size()}, {"start", at_start}});
+    discovery_.Adopt(*holds);
   }
 
   EdgeSettings settings_;
@@ -310,6 +344,7 @@
   Downstream downstream_;
   AdminFront admin_;
   std::unique_ptr<Downstream> admin_down_;  // where the configuration names a management address
+  StateFile holds_file_;
   // Only where the settings ask for it.
   limits::Networks openai_networks_;
   std::unique_ptr<OpenAiFront> openai_;
--- /dev/null
+++ b/src/base/state_file.cpp
@@ -0,0 +1,120 @@
+#include "base/state_file.h"
+
+#include <cstring>
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+#include "base/log.h"
+#include "base/whole_file.h"
+
+namespace ryeglade {
+namespace {
+
+constexpr mode_t kMode = 0600;
+constexpr std::size_t kMostBytes = std::size_t{4} * 1024 * 1024;
+
+std::optional<std::string> Slurp(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) return std::nullopt;
+  std::string text;
+  char piece[65536];
+  while (in.read(piece, sizeof piece) || in.gcount() > 0) {
+    text.append(piece, static_cast<std::size_t>(in.gcount()));
+    if (text.size() > kMostBytes) return std::nullopt;
+  }
+  return text;
+}
+
+}  // namespace
+
+struct StateFile::Job {
+  uv_work_t work{};
+  StateFile* file = nullptr;
+  bool write = false;
+  std::string text;
+  std::optional<std::string> read;
+  FileFault fault;
+};
+
+StateFile::StateFile(uv_loop_t* loop, std::string path, std::function<void(const std::string&)> changed)
+    : loop_(loop), path_(std::move(path)), changed_(std::move(changed)) {}
+
+std::optional<std::string> StateFile::ReadNow() const {
+  if (!on()) return std::nullopt;
+  return Slurp(path_);
+}
+
+void StateFile::Write(std::string text) {
+  if (!on()) return;
+  last_ = text;
+  pending_ = std::move(text);
+  if (!busy_) Start();
+}
+
+void StateFile::Start() {
+  Job* job = new Job;
+  job->work.data = job;
+  job->file = this;
+  job->write = pending_.has_value();
+  if (job->write) job->text = *std::exchange(pending_, std::nullopt);
+  busy_ = true;
+  const int queued = uv_queue_work(
+      loop_, &job->work,
+      [](uv_work_t* w) {
+        Job* j = static_cast<Job*>(w->data);
+        if (j->write) {
+          j->fault = ReplaceFile(j->file->path_, j->text, kMode);
+        } else {
+          j->read = Slurp(j->file->path_);
+        }
+      },
+      [](uv_work_t* w, int) {
+        Job* j = static_cast<Job*>(w->data);
+        j->file->Finished(j);
+      });
+  if (queued != 0) {
+    busy_ = false;
+    delete job;
+  }
+}
+
+void StateFile::Finished(Job* job) {
+  busy_ = false;
+  if (job->write && job->fault.error != 0) {
+    Log(Level::kWarn, "state-not-written",
+        {{"path", path_}, {"step", job->fault.what}, {"why", std::strerror(job->fault.error)}});
+  }
+  if (!job->write && job->read && *job->read != last_ && !pending_) {
+    last_ = *job->read;
+    if (polling_) changed_(last_);
+  }
+  delete job;
+  if (pending_) Start();
+}
+
+void StateFile::Watch(unsigned interval_ms) {
+  if (!on() || polling_) return;
+  uv_fs_poll_init(loop_, &poll_);
+  poll_.data = this;
+  polling_ = true;
+  uv_fs_poll_start(
+      &poll_,
+      [](uv_fs_poll_t* p, int status, const uv_stat_t*, const uv_stat_t*) {
+        if (status == 0) static_cast<StateFile*>(p->data)->Look();
+      },
+      path_.c_str(), interval_ms);
+}
+
+void StateFile::Look() {
+  if (!busy_) Start();
+}
+
+void StateFile::Close() {
+  if (!polling_) return;
+  polling_ = false;
+  uv_fs_poll_stop(&poll_);
+  uv_close(reinterpret_cast<uv_handle_t*>(&poll_), nullptr);
+}
+
+}  // namespace ryeglade
--- a/src/base/whole_file.cpp
+++ b/src/base/whole_file.cpp
@@ -5,11 +5,13 @@
 
 #include <cerrno>
 #include <cstdio>
+#include <string>
 
 namespace ryeglade {
 
 FileFault ReplaceFile(const std::string& path, const std::string& text, mode_t mode) {
-  const std::string fresh = path + ".new";
+  // Two processes of one node may replace the same file during a hot restart.
+  const std::string fresh = path + "." + std::to_string(getpid()) + ".new";
   FileFault fault{0, "cannot be written"};
   const int fd = open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, mode);
   if (fd < 0) return {errno, fault.what};
--- a/src/core/discovery.cpp
+++ b/src/core/discovery.cpp
@@ -269,7 +269,7 @@
       told_.erase(e.id);
     } else {
       told_[e.id] = e;
-      Overlay(name->get_ref<const std::string&>(), e);
+      Overlay(holds_, name->get_ref<const std::string&>(), e);
       core_->hosts->SetHost(e.id, host_port);
       if (core_->membership_tap != nullptr)
         core_->membership_tap->OnMember(Now(), e, name->get_ref<const std::string&>(), host_port);
@@ -311,15 +311,16 @@
 }
 
 // What an operator said comes before what the lists say.
-void Discovery::Overlay(const std::string& name, policy::ReplicaEntry& e) const {
-  if (held_.contains(name) && e.phase == Phase::kReady) e.phase = Phase::kDraining;
-  if (const auto back = back_.find(name); back != back_.end())
+void Discovery::Overlay(const Holds& holds, const std::string& name, policy::ReplicaEntry& e) {
+  if (holds.out.contains(name) && e.phase == Phase::kReady) e.phase = Phase::kDraining;
+  if (const auto back = holds.back.find(name); back != holds.back.end()) {
     e.started_at = std::max(e.started_at, back->second);
+  }
 }
 
 bool Discovery::held(ReplicaId id) const {
   const auto name = names_.find(id);
-  return name != names_.end() && held_.contains(name->second);
+  return name != names_.end() && holds_.out.contains(name->second);
 }
 
 bool Discovery::avoided(ReplicaId id) const {
@@ -327,18 +328,32 @@
   return held(id) || (told != told_.end() && told->second.phase != Phase::kReady);
 }
 
+void Discovery::Adopt(const Holds& holds) {
+  ReplicaList told{ListScope::kDelta, static_cast<std::uint32_t>(generation_), {}};
+  for (const auto& [id, entry] : told_) {
+    const auto name = names_.find(id);
+    if (name == names_.end()) continue;
+    ReplicaEntry before = entry, after = entry;
+    Overlay(holds_, name->second, before);
+    Overlay(holds, name->second, after);
+    if (before.phase != after.phase || before.started_at != after.started_at) told.entries.push_back(after);
+  }
+  holds_ = holds;
+  if (!told.entries.empty()) core_->events->Post(std::move(told));
+}
+
 bool Discovery::Hold(const std::string& instance, bool out) {
   const auto id = ids_.find(instance);
   const bool listed = id != ids_.end() && told_.contains(id->second);
-  if (!listed && !held_.contains(instance)) return false;
+  if (!listed && !holds_.out.contains(instance)) return false;
   if (out) {
-    held_.try_emplace(instance, Now());
-  } else if (held_.erase(instance) > 0) {
-    back_[instance] = Now();
+    holds_.out.try_emplace(instance, Now());
+  } else if (holds_.out.erase(instance) > 0) {
+    holds_.back[instance] = Now();
   }
   if (!listed) return true;
   ReplicaEntry e = told_.at(id->second);
-  Overlay(instance, e);
+  Overlay(holds_, instance, e);
   core_->events->Post(ReplicaList{ListScope::kDelta, static_cast<std::uint32_t>(generation_), {e}});
   return true;
 }
--- a/src/core/discovery.h
+++ b/src/core/discovery.h
@@ -13,6 +13,7 @@
 #include "base/slots.h"
 #include "base/tcp.h"
 #include "core/core.h"
+#include "core/holds_model.h"
 
 namespace ryeglade {
 
@@ -32,6 +33,10 @@
   // drains, whatever the lists say; once back, it is told it has just started, so that it is used again
   // cold. Twice out needs once back. False: no host of that name is known, and nothing changes.
   bool Hold(const std::string& instance, bool out);
+  // What operators said, to hand to another process of this node, and taken from one: it replaces what was
+  // said here, and the module is told what changes for the hosts that are listed.
+  const Holds& holds() const { return holds_; }
+  void Adopt(const Holds& holds);
   std::size_t listed() const { return hosts_.size(); }
   const std::map<policy::ReplicaId, bool>& hosts() const { return hosts_; }
   bool held(policy::ReplicaId id) const;
@@ -66,7 +71,7 @@
   void Drop(Handle call);
   bool Apply(std::string_view text, bool single, bool current);
   bool Apply(const nlohmann::json& list, policy::ListScope scope, const char* source);
-  void Overlay(const std::string& name, policy::ReplicaEntry& e) const;
+  static void Overlay(const Holds& holds, const std::string& name, policy::ReplicaEntry& e);
   void Dark(const char* source, const char* why);
   int IndexOf(const std::vector<std::string>& names, const nlohmann::json& entry, const char* key) const;
   static const http_parser_settings& Callbacks();
@@ -83,8 +88,7 @@
   std::map<policy::ReplicaId, std::string> names_;
   std::map<policy::ReplicaId, bool> hosts_;                 // listed now
   std::map<policy::ReplicaId, policy::ReplicaEntry> told_;  // each listed host as the lists last told it
-  std::map<std::string, Time> held_;                        // out by hand; by name, since ids are reused
-  std::map<std::string, Time> back_;  // back by hand, at this time: counts as started then
+  Holds holds_;  // what operators said, by name, since ids are reused
 };
 
 }  // namespace ryeglade
--- /dev/null
+++ b/tests/holds_test.cpp
@@ -0,0 +1,64 @@
+// The holds file that passes over a hot restart: what is written reads back the same, and anything less than
+// a whole file of this node reads as nothing.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+
+#include "core/holds_model.h"
+
+namespace ryeglade {
+namespace {
+
+Holds Some() {
+  Holds h;
+  h.out = {{"s-a", 5}, {"s-5be2a07c", 1'796'153'893'361'000}};
+  h.back = {{"s-b", 7}};
+  return h;
+}
+
+TEST(Holds, ReadsBackWhatWasWritten) {
+  std::string why;
+  const auto read = DecodeHolds(EncodeHolds(Some(), "n3"), "n3", &why);
+  ASSERT_TRUE(read.has_value()) << why;
+  EXPECT_EQ(*read, Some());
+}
+
+TEST(Holds, AnotherNodesFileIsPassedOver) {
+  std::string why;
+  EXPECT_FALSE(DecodeHolds(EncodeHolds(Some(), "n3"), "n4", &why).has_value());
+  EXPECT_EQ(why, "of another node");
+}
+
+TEST(Holds, WhatIsNotAPlainLineIsPassedOver) {
+  std::string why;
+  for (const std::string line : {"out s-a", "out s-a -1", "out s-a 5x", "in s-a 5", "out  5", "out s a 5"}) {
+    EXPECT_FALSE(DecodeHolds("ryeglade-holds 1 n3\n" + line + "\nend\n", "n3", &why).has_value()) << line;
+  }
+  EXPECT_FALSE(DecodeHolds("ryeglade-holds 2 n3\nend\n", "n3", &why).has_value());
+  EXPECT_FALSE(DecodeHolds("ryeglade-holds 1 n3\nend\nout s-a 5\n", "n3", &why).has_value());
+  EXPECT_FALSE(DecodeHolds("", "n3", &why).has_value());
+}
+
+RC_GTEST_PROP(Holds, AnyWholeFileReadsBack, (const std::map<std::string, std::int64_t>& out)) {
+  Holds h;
+  for (const auto& [name, at] : out) {
+    std::string plain;
+    for (const char c : name) plain += c > ' ' && c != 0x7f ? c : 'x';
+    if (!plain.empty() && plain.size() <= 256) h.out[plain] = at < 0 ? -(at + 1) : at;
+  }
+  std::string why;
+  const auto read = DecodeHolds(EncodeHolds(h, "n0"), "n0", &why);
+  RC_ASSERT(read.has_value());
+  RC_ASSERT(*read == h);
+}
+
+RC_GTEST_PROP(Holds, EveryTornFileIsPassedOver, (unsigned cut)) {
+  const std::string text = EncodeHolds(Some(), "n0");
+  const std::size_t at = cut % text.size();  // shorter than whole
+  std::string why;
+  RC_ASSERT(!DecodeHolds(text.substr(0, at), "n0", &why).has_value());
+}
+
+}  // namespace
+}  // namespace ryeglade
--- a/tests/operations.cpp
+++ b/tests/operations.cpp
@@ -105,13 +105,59 @@
   Serves(young, host, "1");
 }
 
+// What operators said passes to the next process of the node: a host out by hand at the old one stays out at
+// the new one, and one put out at the new one is left out by the old one while it drains.
+void HoldsPass() {
+  Peer a, b;
+  const nlohmann::json list = List(1, true, {Instance("s-a", a.at()), Instance("s-b", b.at())});
+  Node old(program, list, kNobody, "push", 1024, 192, "", false, kAdmin);
+  assert(old.Call("POST", "/control/model-replicas/s-a/offline").rfind("HTTP/1.1 200", 0) == 0);
+  old.WaitLog("replica-offline");
+  usleep(300'000);  // written in the background
+  Node young(program, list, kNobody, "push", 1024, 192, "", false,
+             {{"management", "127.0.0.1:0"},
+              {"listen", "127.0.0.1:" + std::to_string(old.port())},
+              {"_tmpdir", old.tmpdir()}});
+  assert(Has(young.Log(), "holds-taken out=1 start=true"));
+  assert(Has(young.Call("GET", "/control/counters"), "node_hosts_down 1\n"));
+  assert(young.Call("POST", "/control/model-replicas/s-b/offline").rfind("HTTP/1.1 200", 0) == 0);
+  old.WaitLog("holds-taken out=2 start=false");
+  assert(Has(old.Call("GET", "/control/counters"), "node_hosts_down 2\n"));
+  assert(young.Call("POST", "/control/model-replicas/s-a/online").rfind("HTTP/1.1 200", 0) == 0);
+  old.WaitLog("holds-taken out=1 start=false");
+  Serves(old, a, "1");  // back at both
+  Serves(young, a, "2");
+  old.Term();
+  assert(old.Exit() == 0);
+}
+
+// A holds file that is torn, or of another node, is passed over whole: the node starts as if there were none.
+void HoldsTorn() {
+  char dir[] = "/tmp/ryeglade-story-tmp-XXXXXX";
+  assert(mkdtemp(dir) != nullptr);
+  const std::string path = std::string(dir) + "/ryeglade-holds-n0";
+  for (const std::string& text :
+       {std::string("ryeglade-holds 1 n0\nout s-a 5\n"), std::string("ryeglade-holds 1 n7\nout s-a 5\nend\n"),
+        std::string("\0\1", 2)}) {
+    std::ofstream(path) << text;
+    Peer host;
+    Node node(program, List(1, true, {Instance("s-a", host.at())}), kNobody, "push", 1024, 192, "", false,
+              {{"management", "127.0.0.1:0"}, {"_tmpdir", std::string(dir)}});
+    assert(Has(node.Log(), "holds-passed-over"));
+    Serves(node, host, "1");
+  }
+  std::remove(path.c_str());
+  rmdir(dir);
+}
+
 }  // namespace
 }  // namespace stories
 
 int main(int argc, char** argv) {
   using namespace stories;
   const std::map<std::string, void (*)()> all = {
-      {"calls", Calls}, {"by-hand", ByHand}, {"slow-callers", SlowCallers}, {"beside", Beside}};
+      {"calls", Calls},   {"by-hand", ByHand},       {"slow-callers", SlowCallers},
+      {"beside", Beside}, {"holds-pass", HoldsPass}, {"holds-torn", HoldsTorn}};
   signal(SIGPIPE, SIG_IGN);
   assert(argc == 3 && all.contains(argv[2]));
   program = argv[1];
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -181,6 +181,16 @@
                  {"limits", {{"max-attempts", 3}, {"idle-close", 5000000}, {"connect-timeout", 2000000}}},
                  {"obligations", {{"ask-within", 500000}}}}}};
     if (extra.is_object()) config_.update(extra);
+    // Each node its own $TMPDIR, unless a story gives two processes of one node the same.
+    if (config_.contains("_tmpdir")) {
+      tmpdir_ = config_["_tmpdir"].get<std::string>();
+      config_.erase("_tmpdir");
+    } else {
+      char dir[] = "/tmp/ryeglade-story-tmp-XXXXXX";
+      assert(mkdtemp(dir) != nullptr);
+      tmpdir_ = dir;
+      own_tmpdir_ = true;
+    }
     char name[] = "/tmp/ryeglade-story-XXXXXX";
     const int fd = mkstemp(name);
     assert(fd >= 0);
@@ -195,6 +205,7 @@
       for (const char* name_of : {"EDGE_CONFIG", "EDGE_NAME", "EDGE_LISTEN", "EDGE_DISCOVERY"})
         unsetenv(name_of);
       if (!variable.empty()) setenv("EDGE_DISCOVERY", variable.c_str(), 1);
+      setenv("TMPDIR", tmpdir_.c_str(), 1);
       if (std::freopen(log_.c_str(), "w", stderr) == nullptr) _exit(9);
       execl(program.c_str(), program.c_str(), "serve", "--config", path_.c_str(), nullptr);
       _exit(9);
@@ -221,7 +232,12 @@
     }
     std::remove(path_.c_str());
     std::remove(log_.c_str());
+    if (own_tmpdir_) {
+      std::remove((tmpdir_ + "/ryeglade-holds-n0").c_str());
+      rmdir(tmpdir_.c_str());
+    }
   }
+  const std::string& tmpdir() const { return tmpdir_; }
   int port() const { return port_; }
   Conn Client() const { return Dial(port_); }
   std::string Log() const {
@@ -259,7 +275,8 @@
   }
 
  private:
-  std::string path_, log_;
+  std::string path_, log_, tmpdir_;
+  bool own_tmpdir_ = false;
   nlohmann::json config_;
   pid_t pid_ = -1;
   int port_ = 0, admin_ = 0;
