--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,391 @@
+// Membership: merges in any order, the pure part at many nodes over links that do wrong, and the judge of
+// such runs against detectors that are known to be wrong.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <string>
+#include <vector>
+
+#include "lab/cluster/emulated.h"
+#include "lab/cluster/explorer.h"
+#include "membership/membership_model.h"
+#include "settings/toml_reader.h"
+
+namespace ryeglade::cluster {
+namespace {
+
+using membership::Actions;
+using membership::Kind;
+using membership::Message;
+using membership::Model;
+using membership::News;
+using membership::Record;
+using membership::Standing;
+using membership::State;
+
+Scenario Shipped(const std::string& name) {
+  return ReadScenario(std::string(RYEGLADE_EXAMPLES) + "/cluster/" + name + ".toml");
+}
+
+std::string Words(const Verdict& v) {
+  std::string all;
+  for (const std::string& line : v.broken) all += line + "\n";
+  return all;
+}
+
+EmulatedResult Play(const std::string& name, std::uint64_t seed, const std::string& detector = "ryeglade") {
+  EmulatedOptions o;
+  o.seed = seed;
+  o.detector = detector;
+  return PlayEmulated(Shipped(name), o);
+}
+
+// ---- Every shipped scenario, in virtual time ----
+
+class Scenarios : public ::testing::TestWithParam<std::string> {};
+
+TEST_P(Scenarios, HoldWhatTheyExpect) {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    const EmulatedResult r = Play(GetParam(), seed);
+    EXPECT_TRUE(r.verdict.good()) << GetParam() << " seed " << seed << ": " << Words(r.verdict);
+  }
+}
+
+std::vector<std::string> AllScenarios() {
+  std::vector<std::string> names;
+  for (const auto& e : std::filesystem::directory_iterator(std::string(RYEGLADE_EXAMPLES) + "/cluster")) {
+    if (e.path().extension() == ".toml") names.push_back(e.path().stem().string());
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+INSTANTIATE_TEST_SUITE_P(Shipped, Scenarios, ::testing::ValuesIn(AllScenarios()), [](const auto& shipped) {
+  std::string name = shipped.param;
+  std::replace(name.begin(), name.end(), '-', '_');
+  return name;
+});
+
+// ---- The judge sees what is wrong ----
+
+TEST(Judge, CatchesHalvesThatRemoveEachOther) {
+  const EmulatedResult r = Play("partition-half", 1, "no-majority");
+  EXPECT_GT(r.verdict.figures.false_deaths, 0U);
+  EXPECT_FALSE(r.verdict.good());
+  EXPECT_FALSE(Play("cut-two-zones", 1, "swim").verdict.good());
+}
+
+TEST(Judge, CatchesADeadNodeThatIsNeverTold) {
+  Scenario s = Shipped("kill-one");
+  s.expect.removed_within = 2;  // nobody can know by then
+  const EmulatedResult r = PlayEmulated(s, {});
+  EXPECT_NE(Words(r.verdict).find("did not say within 2 periods"), std::string::npos) << Words(r.verdict);
+}
+
+TEST(Judge, CatchesFlapping) {
+  EXPECT_GT(Play("loss-50", 1, "heartbeat").verdict.figures.most_returns, 1U);
+  EXPECT_FALSE(Play("pause-short", 1, "phi").verdict.good());
+}
+
+TEST(Judge, CatchesViewsThatStayApart) {
+  const EmulatedResult r = Play("partition-half", 1, "swim");
+  EXPECT_NE(Words(r.verdict).find("the views are not one"), std::string::npos) << Words(r.verdict);
+}
+
+TEST(Emulated, OneSeedGivesOneRun) {
+  std::vector<Seen> a, b;
+  EmulatedOptions o;
+  o.seed = 7;
+  o.said = &a;
+  PlayEmulated(Shipped("loss-50"), o);
+  o.said = &b;
+  PlayEmulated(Shipped("loss-50"), o);
+  ASSERT_EQ(a.size(), b.size());
+  for (std::size_t i = 0; i < a.size(); ++i) {
+    EXPECT_EQ(a[i].at, b[i].at);
+    EXPECT_EQ(a[i].what, b[i].what);
+    EXPECT_EQ(a[i].member, b[i].member);
+  }
+}
+
+TEST(ScenarioFile, ErrorsNameFileLineKeyAndRemedy) {
+  const auto error = [](const std::string& text) -> std::string {
+    try {
+      ParseScenario("s.toml", text);
+    } catch (const SettingsError& e) {
+      return e.what();
+    }
+    return "";
+  };
+  EXPECT_EQ(error("name = \"x\"\nnodes = 4\n[[fault]]\nwhat = \"pause\"\nnodes = \"7\"\nlasts = 1\n"),
+            "s.toml:5: fault.nodes: \"7\" names no nodes; give all, a number under 4, 2-5, zone:0 or not:3, "
+            "several "
+            "with commas");
+  EXPECT_NE(error("name = \"x\"\n[[fault]]\nwhat = \"kil\"\n")
+                .find("s.toml:3: fault.what: is \"kil\"; allowed are"),
+            std::string::npos);
+  EXPECT_NE(error("name = \"x\"\nlenght = 4\n").find("did you mean 'length'?"), std::string::npos);
+}
+
+// ---- Every schedule of faults to a depth ----
+
+TEST(Explorer, NoScheduleOfOneFaultBreaksAnInvariant) {
+  for (const std::size_t nodes : {3U, 4U}) {
+    ExploreOptions o;
+    o.nodes = nodes;
+    o.depth = 1;
+    const Explored e = Explore(o);
+    EXPECT_GT(e.schedules, 40U);
+    EXPECT_GT(e.states, 100U);
+    EXPECT_GT(e.deaths, 0U);
+    EXPECT_GT(e.returns, 0U);
+    for (const Breach& b : e.breaches) ADD_FAILURE() << b.invariant << ": " << b.schedule << ": " << b.what;
+  }
+}
+
+TEST(Explorer, EachInvariantIsBrokenByABrokenVariant) {
+  const auto broken = [](const char* variant, std::size_t nodes, int depth) {
+    ExploreOptions o;
+    o.nodes = nodes;
+    o.depth = depth;
+    o.variant = variant;
+    o.stop_at = 1000;
+    return Explore(o).by_invariant;
+  };
+  EXPECT_TRUE(broken("no-order", 3, 1).contains("incarnation"));
+  EXPECT_TRUE(broken("no-memory", 3, 1).contains("resurrection"));
+  EXPECT_TRUE(broken("no-refute", 3, 1).contains("one-view"));
+  EXPECT_TRUE(broken("no-majority", 4, 2).contains("minority"));
+}
+
+// ---- The pure part by itself ----
+
+Record MakeRecord(const std::string& name, std::uint64_t incarnation, State state = State::kAlive) {
+  Record r;
+  r.name = name;
+  r.address = "a:" + name;
+  r.incarnation = incarnation;
+  r.uid = 1000 + static_cast<std::uint64_t>(name[0]);
+  r.state = state;
+  if (state == State::kDead) r.accusers = {"x", "y", "z"};
+  return r;
+}
+
+RC_GTEST_PROP(Records, MergeInAnyOrderAndAnyNumberEndsTheSame, ()) {
+  const auto some = *rc::gen::container<std::vector<std::pair<int, int>>>(
+      rc::gen::pair(rc::gen::inRange(0, 4), rc::gen::inRange(0, 4)));
+  RC_PRE(!some.empty());
+  const auto merged = [](const std::vector<std::pair<int, int>>& list) {
+    Record r = MakeRecord("n", 0);
+    for (const auto& [incarnation, state] : list) {
+      const Record next = MakeRecord("n", static_cast<std::uint64_t>(incarnation), static_cast<State>(state));
+      if (Supersedes(next, r)) r = next;
+    }
+    return std::pair(r.incarnation, r.state);
+  };
+  auto other = some;
+  other.insert(other.end(), some.begin(), some.end());
+  const auto order = *rc::gen::container<std::vector<int>>(other.size(), rc::gen::inRange(0, 1000));
+  std::vector<std::size_t> at(other.size());
+  for (std::size_t i = 0; i < at.size(); ++i) at[i] = i;
+  std::sort(at.begin(), at.end(), [&](std::size_t a, std::size_t b) { return order[a] < order[b]; });
+  std::vector<std::pair<int, int>> shuffled;
+  for (const std::size_t i : at) shuffled.push_back(other[i]);
+  RC_ASSERT(merged(some) == merged(shuffled));
+}
+
+struct Solo {
+  explicit Solo(membership::Options o = {})
+      : model(o, MakeRecord("s", 100), 0, [this] { return next += 977; }) {}
+  Message From(const Record& who, Kind kind) const {
+    Message m;
+    m.cluster = model.options().cluster;
+    m.from = who;
+    m.kind = kind;
+    return m;
+  }
+  void Take(const Message& m) {
+    out.Clear();
+    model.Receive(now, m.from.address, m, out);
+  }
+  // Answers each of its pings to `who`.
+  void Meet(const Record& who) {
+    Take(From(who, Kind::kPing));
+    for (int i = 0; i < 20 && model.StandingOf(who.name) != Standing::kAlive; ++i) {
+      Step();
+      std::vector<Message> answers;
+      for (const auto& send : out.sends) {
+        if (send.to != who.address || send.message.kind != Kind::kPing) continue;
+        answers.push_back(From(who, Kind::kAck));
+        answers.back().seq = send.message.seq;
+      }
+      for (const Message& a : answers) Take(a);
+    }
+  }
+  void Step() {
+    out.Clear();
+    now += model.step();
+    model.Tick(now, out);
+  }
+  void Run(int steps) {
+    for (int i = 0; i < steps; ++i) Step();
+  }
+  std::uint64_t next = 1;
+  Time now = 0;
+  Actions out;
+  Model model;
+};
+
+TEST(Membership, NobodyIsAMemberBeforeItAnswered) {
+  Solo s;
+  Message gossip = s.From(MakeRecord("a", 5), Kind::kNews);
+  for (int i = 0; i < 2000; ++i) {
+    News news;
+    news.record = MakeRecord("g" + std::to_string(i), 9);
+    gossip.news.push_back(news);
+  }
+  s.Take(gossip);
+  EXPECT_EQ(s.model.live(), 1U);
+  EXPECT_LE(s.model.known(), 1024U);  // the table's bound
+  s.Run(1200);
+  EXPECT_EQ(s.model.live(), 1U);
+  EXPECT_LT(s.model.known(), 600U);  // given up one by one
+}
+
+TEST(Membership, NobodyKillsAlone) {
+  Solo s;
+  for (const char* name : {"a", "b", "c", "d", "e"}) s.Meet(MakeRecord(name, 5));
+  ASSERT_EQ(s.model.live(), 6U);
+  s.now += 3'000'000;  // its own evidence is old
+  Message m = s.From(MakeRecord("a", 5), Kind::kNews);
+  News news;
+  news.record = MakeRecord("b", 5, State::kDead);
+  news.record.accusers = {"a"};
+  m.news = {news};
+  s.Take(m);
+  EXPECT_NE(s.model.StandingOf("b"), Standing::kDead);
+  m.news[0].record.accusers = {"a", "c", "d"};
+  s.Take(m);
+  EXPECT_EQ(s.model.StandingOf("b"), Standing::kDead);
+}
+
+TEST(Membership, TheDeadDoNotComeBackByHearsay) {
+  Solo s;
+  for (const char* name : {"a", "b", "c", "d"}) s.Meet(MakeRecord(name, 5));
+  s.now += 3'000'000;
+  Message m = s.From(MakeRecord("a", 5), Kind::kNews);
+  News news;
+  news.record = MakeRecord("b", 5, State::kDead);
+  m.news = {news};
+  s.Take(m);
+  ASSERT_EQ(s.model.StandingOf("b"), Standing::kDead);
+  m.news[0].record = MakeRecord("b", 5);  // late
+  s.Take(m);
+  EXPECT_EQ(s.model.StandingOf("b"), Standing::kDead);
+  m.news[0].record = MakeRecord("b", 6);  // said to be back: it is looked at
+  s.Take(m);
+  EXPECT_EQ(s.model.StandingOf("b"), Standing::kJoining);
+  EXPECT_EQ(s.model.live(), 4U);
+  s.Meet(MakeRecord("b", 6));
+  EXPECT_EQ(s.model.StandingOf("b"), Standing::kAlive);
+}
+
+TEST(Membership, AnswersToAnAccusationWithAHigherIncarnation) {
+  Solo s;
+  for (const char* name : {"a", "b"}) s.Meet(MakeRecord(name, 5));
+  Message m = s.From(MakeRecord("a", 5), Kind::kPing);
+  News news;
+  news.kind = News::Kind::kBallot;
+  news.record.name = "s";
+  news.record.incarnation = 100;
+  news.ballot.by = "b";
+  news.ballot.seq = 1;
+  m.news = {news};
+  s.Take(m);
+  EXPECT_EQ(s.model.self().incarnation, 101U);
+  ASSERT_FALSE(s.out.sends.empty());
+  EXPECT_EQ(s.out.sends[0].message.from.incarnation, 101U);
+  s.Take(m);  // once more: it speaks of an older incarnation now
+  EXPECT_EQ(s.model.self().incarnation, 101U);
+}
+
+TEST(Membership, ARestartUnderTheSameNameWithAClockSetBackGoesAboveWhatIsKnown) {
+  membership::Options o;
+  o.seeds = {"a:a"};
+  Solo s(o);
+  Message state = s.From(MakeRecord("a", 5), Kind::kState);
+  News news;
+  news.record = MakeRecord("s", 900);
+  news.record.uid = 1;
+  state.news = {news};
+  s.out.Clear();
+  s.model.OnState(s.now, state, true, s.out);
+  EXPECT_TRUE(s.model.joined());
+  EXPECT_EQ(s.model.self().incarnation, 901U);
+}
+
+TEST(Membership, AWakeAfterAPauseAccusesNobody) {
+  Solo s;
+  for (const char* name : {"a", "b", "c", "d"}) s.Meet(MakeRecord(name, 5));
+  s.now += 60'000'000;  // not running for a minute
+  s.out.Clear();
+  s.model.Tick(s.now, s.out);
+  EXPECT_TRUE(std::any_of(s.out.notes.begin(), s.out.notes.end(),
+                          [](const auto& n) { return std::string(n.what) == "self-paused"; }));
+  EXPECT_EQ(s.model.self().incarnation, 101U);
+  s.Run(3);
+  for (const char* name : {"a", "b", "c", "d"}) EXPECT_EQ(s.model.StandingOf(name), Standing::kAlive);
+}
+
+TEST(Membership, OneThatReachesNobodyAccusesNobodyAndDoubtsItsView) {
+  Solo s;
+  for (const char* name : {"a", "b", "c", "d"}) s.Meet(MakeRecord(name, 5));
+  bool settled = false;
+  for (int i = 0; i < 100 && !settled; ++i) {
+    s.Step();
+    std::vector<Message> answers;
+    for (const auto& send : s.out.sends) {
+      if (send.message.kind != Kind::kPing) continue;
+      Record who = MakeRecord(send.to.substr(2), 5);
+      answers.push_back(s.From(who, Kind::kAck));
+      answers.back().seq = send.message.seq;
+    }
+    for (const Message& a : answers) s.Take(a);
+    settled = s.model.settled();
+  }
+  ASSERT_TRUE(settled);
+  s.Run(2000);  // and no answer more
+  EXPECT_TRUE(s.model.in_doubt());
+  EXPECT_FALSE(s.model.settled());
+  EXPECT_EQ(s.model.live(), 5U);
+}
+
+TEST(Membership, OtherClustersAndMessagesTooNewDoNotFit) {
+  Solo s;
+  Message m = s.From(MakeRecord("a", 5), Kind::kPing);
+  EXPECT_STREQ(s.model.Misfit(m), "");
+  m.needs = membership::kSchema + 1;
+  EXPECT_STREQ(s.model.Misfit(m), "too-new");
+  m.cluster = "elsewhere";
+  EXPECT_STREQ(s.model.Misfit(m), "other-cluster");
+}
+
+TEST(Membership, DatagramsStayWithinTheirSizeWhateverThereIsToTell) {
+  Solo s;
+  for (int i = 0; i < 200; ++i) s.Meet(MakeRecord("m" + std::to_string(i), 5));
+  std::size_t seen = 0;
+  for (int i = 0; i < 50; ++i) {
+    s.Step();
+    for (const auto& send : s.out.sends) {
+      std::size_t bytes = membership::kMessageHead + SizeOf(send.message.from);
+      for (const News& news : send.message.news) bytes += SizeOf(news);
+      EXPECT_LE(bytes, 1400U);
+      seen += send.message.news.size();
+    }
+  }
+  EXPECT_GT(seen, 50U);
+}
+
+}  // namespace
+}  // namespace ryeglade::cluster
