--- /dev/null
+++ b/fuzz/rollout_fuzz.cpp
@@ -0,0 +1,72 @@
+// What another process or a driver says: leases, state that passes, commands, statuses, figures, a keeper's
+// memory. Nothing of it may do more than be refused; what is taken is written and read back alike.
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+#include "core/learned_model.h"
+#include "handover/state_model.h"
+#include "handover/succession_policy.h"
+#include "rollout/keeper_model.h"
+#include "rollout/release_model.h"
+#include "rollout/report_model.h"
+#include "rollout/tier_word_model.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  using namespace ryeglade;
+  if (size == 0) return 0;
+  const std::string text(reinterpret_cast<const char*>(data + 1), size - 1);
+  std::string why;
+  switch (data[0] % 10) {
+    case 0:
+      if (const auto lease = handover::DecodeLease(text)) {
+        if (!handover::DecodeLease(handover::EncodeLease(*lease))) std::abort();
+      }
+      break;
+    case 1:
+      handover::DecodeState(text, 1, "n0", &why);
+      break;
+    case 2:
+      handover::DecodeOut(text, 1);
+      break;
+    case 3:
+      if (const auto learned = DecodeLearned(text, &why)) {
+        if (!DecodeLearned(EncodeLearned(*learned), &why)) std::abort();
+      }
+      break;
+    case 4: {
+      const auto command = rollout::DecodeCommand(text);
+      if (!command) break;
+      rollout::KeeperMemory memory;
+      memory.in_force = memory.last_good = {"old", "/old", "/c", "", "", "", ""};
+      rollout::Keeper keeper("n0", "", {}, memory);
+      std::vector<rollout::KeeperAct> acts;
+      keeper.Begin(0, false, false, false, acts);
+      keeper.Take(1, *command, acts);
+      if (keeper.memory().last_good.program.empty()) std::abort();
+      break;
+    }
+    case 5:
+      rollout::DecodeReply(text);
+      break;
+    case 6:
+      if (const auto figures = rollout::DecodeFigures(text)) {
+        if (!rollout::DecodeFigures(rollout::EncodeFigures(*figures))) std::abort();
+      }
+      break;
+    case 7:
+      if (const auto said = rollout::ReadTierSaid(text)) rollout::PutTogether(1, {*said});
+      break;
+    case 8: {
+      std::size_t skipped = 0;
+      const auto rounds = rollout::DecodeRecord(text, &skipped);
+      rollout::ReportTable(rounds);
+      if (!rounds.empty() && rounds.front().fault.empty()) rollout::ReportChart(rounds, "x.svg");
+      break;
+    }
+    default:
+      rollout::DecodeMemory(text);
+  }
+  return 0;
+}
