Add ryeglade-lab cluster: real processes, links that cut, drop and delay one direction

The same scenarios play in virtual time beside SWIM, heartbeats and phi-accrual; an explorer plays every course of faults to a depth.

--- /dev/null
+++ b/lab/cluster/command.cpp
@@ -0,0 +1,268 @@
+#include "lab/cluster/command.h"
+
+#include <fmt/format.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <atomic>
+#include <cmath>
+#include <cstdio>
+#include <filesystem>
+#include <map>
+#include <mutex>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+#include "columns/columnar_file.h"
+#include "lab/cluster/emulated.h"
+#include "lab/cluster/explorer.h"
+#include "lab/cluster/real.h"
+#include "lab/cluster/scenario.h"
+#include "lab/progress.h"
+
+namespace ryeglade::cluster {
+namespace {
+
+std::string Figure(double v, const char* form = "{:.2f}") {
+  return std::isnan(v) ? "-" : fmt::format(fmt::runtime(form), v);
+}
+
+struct Mean {
+  double sum = 0, square = 0;
+  std::size_t n = 0;
+  void Add(double v) {
+    sum += v;
+    square += v * v;
+    ++n;
+  }
+  double mean() const { return n == 0 ? std::nan("") : sum / static_cast<double>(n); }
+  // Half of the 95% interval of the mean.
+  double half() const {
+    if (n < 2) return std::nan("");
+    const double k = static_cast<double>(n);
+    return 1.96 * std::sqrt(std::max(0.0, (square - sum * sum / k) / (k - 1)) / k);
+  }
+};
+
+// `text` with the value of a top-level key replaced, or the key added.
+std::string With(std::string text, const std::string& key, const std::string& value) {
+  const std::string mark = "\n" + key + " = ";
+  const std::size_t at = text.find(mark), head = text.find("\n[");
+  if (at != std::string::npos && (head == std::string::npos || at < head)) {
+    text.replace(at, text.find('\n', at + 1) - at, mark + value);
+    return text;
+  }
+  return text.insert(text.find('\n'), mark + value);
+}
+
+}  // namespace
+
+Commands::Commands(CLI::App& app) {
+  cluster_ =
+      app.add_subcommand("cluster", "several nodes and what fails between them, held against what is true");
+  cluster_->add_option("scenario", files_, "scenario files, TOML");
+  cluster_->add_flag("--list", list_, "name the shipped scenarios");
+  cluster_->add_option("--directory", directory_, "where they lie");
+  cluster_->add_flag("--emulate", emulate_, "in virtual time, with the same membership part");
+  cluster_->add_option("--detector", detectors_, "what decides who is dead; only with --emulate")
+      ->delimiter(',')
+      ->check(CLI::IsMember(Detectors()));
+  cluster_->add_option("--seeds", seeds_, "how many runs of each, from the scenario's own seed on")
+      ->check(CLI::Range(1, 10'000));
+  cluster_->add_option("--nodes", nodes_, "instead of the scenario's own number; only with --emulate")
+      ->check(CLI::Range(2, 5000));
+  cluster_
+      ->add_option("--warm-up", warm_up_,
+                   "periods to join in, instead of the scenario's own; only with --emulate")
+      ->check(CLI::Range(1.0, 1e4));
+  cluster_->add_option("--workers", workers_, "threads; 0: as many as there are cores")
+      ->check(CLI::Range(0, 256));
+  cluster_->add_flag("--explore", explore_,
+                     "play every schedule of faults to a depth over a few nodes, and check what must hold");
+  cluster_->add_option("--depth", depth_, "faults in a row, of --explore")->check(CLI::Range(1, 6));
+  cluster_->add_option("--variant", variant_, "a broken one, to see it caught; of --explore")
+      ->check(CLI::IsMember({"no-refute", "no-order", "no-memory", "no-majority"}));
+  cluster_->add_option("--out", out_, "all that was said, as a results file, HDF5 (of the last run)");
+  cluster_->add_option("--chart", chart_,
+                       "every view over time: a name ending in .svg or .png (of the last run)");
+  cluster_->add_option("--period", period_,
+                       "instead of the scenario's own, such as 200ms; with real processes");
+  cluster_->add_option("--old-program", old_program_, "of the nodes that a scenario calls old_build");
+  cluster_->add_option("--logs", logs_, "a directory that gets each process's log");
+  cluster_->add_flag("--said", said_, "print all that was said (of the last run)");
+}
+
+bool Commands::chosen() const { return cluster_->parsed(); }
+
+int Commands::Run(const std::string& node_program) {
+  if (list_) {
+    std::vector<std::string> names;
+    for (const auto& entry : std::filesystem::directory_iterator(directory_)) {
+      if (entry.path().extension() == ".toml") names.push_back(entry.path().string());
+    }
+    std::sort(names.begin(), names.end());
+    for (const std::string& name : names) {
+      const Scenario s = ReadScenario(name);
+      std::printf("%-44s %4zu nodes  %s\n", name.c_str(), s.nodes, s.title.c_str());
+    }
+    return 0;
+  }
+  if (explore_) return RunExplorer();
+  if (files_.empty())
+    throw std::runtime_error("cluster: name a scenario file; --list tells which are shipped");
+  if (emulate_) return Emulate(files_);
+  return Play(files_, node_program);
+}
+
+void Commands::Write(const Scenario& scenario, const std::string& how, std::vector<Seen> said) const {
+  if (said_) {
+    for (const Seen& s : said)
+      std::printf("  %9.2f %-5s %-16s %-6s by %-6s %llu\n", s.at, scenario.NodeName(s.observer).c_str(),
+                  s.what.c_str(), s.member.c_str(), s.by.c_str(), static_cast<unsigned long long>(s.value));
+  }
+  if (out_.empty()) return;
+  Witness w(scenario);
+  for (Seen& s : said) w.Said(std::move(s));
+  ColumnarFile file;
+  file.notes = {{"scenario", scenario.text}, {"how", how}};
+  file.sheets.push_back(w.Table());
+  WriteColumns(out_, file);
+}
+
+int Commands::Play(const std::vector<std::string>& files, const std::string& node_program) {
+  std::printf("%-20s %5s %5s | %7s %7s | %7s %7s | %8s %7s | %8s %8s %6s | %s\n", "scenario", "nodes", "good",
+              "deaths", "false", "p50", "p99", "one view", "returns", "messages", "bytes", "cpu",
+              "served of asked");
+  bool all_good = true;
+  for (const std::string& file : files) {
+    Scenario scenario = ReadScenario(file);
+    if (!period_.empty())
+      scenario = ParseScenario(file, With(scenario.text, "period", "\"" + period_ + "\""));
+    for (int run = 0; run < seeds_; ++run) {
+      RealOptions o;
+      o.program = node_program;
+      o.old_program = old_program_;
+      o.keep_logs = logs_;
+      o.chart = chart_;
+      o.progress = lab::ProgressLine();
+      std::vector<Seen> said;
+      o.said = &said;
+      const RealResult r = PlayReal(scenario, o);
+      const Figures& f = r.verdict.figures;
+      all_good = all_good && r.verdict.good();
+      std::printf("%-20s %5zu %5s | %7zu %7zu | %7s %7s | %8.2f %7zu | %8.2f %8.0f %5.2f%% | %llu of %llu\n",
+                  scenario.name.c_str(), scenario.nodes, r.verdict.good() ? "yes" : "NO", f.deaths,
+                  f.false_deaths, Figure(Quantile(f.detection, 0.5)).c_str(),
+                  Figure(Quantile(f.detection, 0.99)).c_str(), f.one_view, f.most_returns, r.messages,
+                  r.bytes, 100 * r.cpu_share, static_cast<unsigned long long>(r.served),
+                  static_cast<unsigned long long>(r.asked));
+      for (const std::string& line : r.verdict.broken) std::printf("  %s\n", line.c_str());
+      Write(scenario, "real processes", std::move(said));
+      std::fflush(stdout);
+      ++scenario.seed;
+    }
+  }
+  return all_good ? 0 : 1;
+}
+
+int Commands::RunExplorer() {
+  ExploreOptions o;
+  o.nodes = nodes_ > 0 ? nodes_ : 3;
+  if (o.nodes > 6) throw std::runtime_error("--explore takes 2 to 6 nodes");
+  o.depth = depth_;
+  o.workers = workers_;
+  o.variant = variant_;
+  const Explored e = Explore(o);
+  std::printf(
+      "%zu nodes, depth %d%s%s: %llu schedules, %llu ticks, %llu different states; %llu deaths, %llu "
+      "returns, "
+      "%llu doubts\n",
+      o.nodes, o.depth, variant_.empty() ? "" : ", variant ", variant_.c_str(),
+      static_cast<unsigned long long>(e.schedules), static_cast<unsigned long long>(e.ticks),
+      static_cast<unsigned long long>(e.states), static_cast<unsigned long long>(e.deaths),
+      static_cast<unsigned long long>(e.returns), static_cast<unsigned long long>(e.doubts));
+  for (const auto& [name, n] : e.by_invariant)
+    std::printf("broken: %s, %llu schedules\n", name.c_str(), static_cast<unsigned long long>(n));
+  std::map<std::string, int> shown;
+  for (std::size_t i = 0; i < e.breaches.size(); ++i) {
+    if (++shown[e.breaches[i].invariant] > 4) continue;
+    std::printf("  %s: %s: %s\n", e.breaches[i].invariant.c_str(), e.breaches[i].schedule.c_str(),
+                e.breaches[i].what.c_str());
+  }
+  return e.breaches.empty() ? 0 : 1;
+}
+
+int Commands::Emulate(const std::vector<std::string>& files) {
+  std::printf("%-20s %-13s %5s %6s | %7s %7s | %7s %7s %7s | %8s %7s | %8s %8s | %s\n", "scenario",
+              "detector", "nodes", "good", "deaths", "false", "p50", "p99", "missed", "one view", "returns",
+              "messages", "bytes", "");
+  bool all_good = true;
+  for (const std::string& file : files) {
+    Scenario scenario = ReadScenario(file);
+    if (nodes_ > 0) scenario = ParseScenario(file, With(scenario.text, "nodes", std::to_string(nodes_)));
+    if (warm_up_ > 0)
+      scenario = ParseScenario(file, With(scenario.text, "warm_up", fmt::format("{}", warm_up_)));
+    for (const std::string& detector : detectors_) {
+      std::vector<EmulatedResult> results(static_cast<std::size_t>(seeds_));
+      std::vector<Seen> said;
+      std::atomic<std::size_t> next{0};
+      const auto work = [&] {
+        for (std::size_t i = next++; i < results.size(); i = next++) {
+          EmulatedOptions o;
+          o.detector = detector;
+          o.seed = scenario.seed + i;
+          if (i + 1 == results.size()) {
+            o.chart = chart_;
+            o.said = &said;
+          }
+          results[i] = PlayEmulated(scenario, o);
+        }
+      };
+      const unsigned cores =
+          workers_ > 0 ? static_cast<unsigned>(workers_) : std::max(1U, std::thread::hardware_concurrency());
+      std::vector<std::thread> threads;
+      for (unsigned i = 0; i < std::min<std::size_t>(cores, results.size()); ++i) threads.emplace_back(work);
+      for (std::thread& t : threads) t.join();
+      Mean deaths, wrong, messages, bytes, view, missed, news;
+      std::vector<double> detection;
+      std::size_t good = 0, returns = 0;
+      for (const EmulatedResult& r : results) {
+        const Figures& f = r.verdict.figures;
+        good += r.verdict.good() ? 1 : 0;
+        deaths.Add(static_cast<double>(f.deaths));
+        wrong.Add(static_cast<double>(f.false_deaths));
+        messages.Add(r.messages);
+        bytes.Add(r.bytes);
+        missed.Add(f.missed);
+        if (r.news_to_all >= 0) news.Add(r.news_to_all);
+        if (f.one_view >= 0) view.Add(f.one_view);
+        returns = std::max(returns, f.most_returns);
+        detection.insert(detection.end(), f.detection.begin(), f.detection.end());
+      }
+      std::string tail = results.size() > 1 ? fmt::format("false +-{}", Figure(wrong.half())) : "";
+      if (news.n > 0) tail += fmt::format(" news to all {}", Figure(news.mean()));
+      std::printf("%-20s %-13s %5zu %2zu/%-3zu | %7s %7s | %7s %7s %7s | %8s %7zu | %8s %8s | %s\n",
+                  scenario.name.c_str(), detector.c_str(), scenario.nodes, good, results.size(),
+                  Figure(deaths.mean()).c_str(), Figure(wrong.mean()).c_str(),
+                  Figure(Quantile(detection, 0.5)).c_str(), Figure(Quantile(detection, 0.99)).c_str(),
+                  Figure(missed.mean()).c_str(), Figure(view.mean()).c_str(), returns,
+                  Figure(messages.mean()).c_str(), Figure(bytes.mean(), "{:.0f}").c_str(), tail.c_str());
+      if (detector == "ryeglade" && good < results.size()) {
+        all_good = false;
+        std::size_t told = 0;
+        for (std::size_t i = 0; i < results.size(); ++i) {
+          for (const std::string& line : results[i].verdict.broken) {
+            if (++told <= 6)
+              std::printf("  seed %s: %s\n", std::to_string(scenario.seed + i).c_str(), line.c_str());
+          }
+        }
+      }
+      Write(scenario, detector, std::move(said));
+      std::fflush(stdout);
+    }
+  }
+  return all_good ? 0 : 1;
+}
+
+}  // namespace ryeglade::cluster
--- /dev/null
+++ b/lab/cluster/command.h
@@ -0,0 +1,38 @@
+// `ryeglade-lab cluster`: several nodes and what fails between them, with real processes or in virtual time.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "lab/cluster/judge.h"
+
+namespace CLI {
+class App;
+}
+
+namespace ryeglade::cluster {
+
+class Commands {
+ public:
+  explicit Commands(CLI::App& app);  // must live as long as the app
+  bool chosen() const;
+  int Run(const std::string& node_program);  // its exit code; throws std::runtime_error
+
+ private:
+  int RunExplorer();
+  int Emulate(const std::vector<std::string>& files);
+  int Play(const std::vector<std::string>& files, const std::string& node_program);
+  void Write(const Scenario& scenario, const std::string& how, std::vector<Seen> said) const;
+
+  CLI::App* cluster_;
+  std::vector<std::string> files_, detectors_{"ryeglade"};
+  std::string out_, chart_, old_program_, logs_, period_, directory_ = "examples/cluster";
+  bool list_ = false, emulate_ = false, explore_ = false, said_ = false;
+  int seeds_ = 1, workers_ = 0, depth_ = 2;
+  std::string variant_;
+  std::uint64_t nodes_ = 0;
+  double warm_up_ = 0;
+};
+
+}  // namespace ryeglade::cluster
--- /dev/null
+++ b/lab/cluster/judge.cpp
@@ -0,0 +1,288 @@
+#include "lab/cluster/judge.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include "base/gnuplot.h"
+
+namespace ryeglade::cluster {
+namespace {
+
+bool In(const Nodes& nodes, std::size_t node) { return std::binary_search(nodes.begin(), nodes.end(), node); }
+
+enum class Turn : std::uint8_t { kNone, kIn, kOut, kSuspect };
+
+// What an event means for who is in the observer's view.
+Turn TurnOf(const std::string& what) {
+  if (what == "member-alive" || what == "member-returned" || what == "member-refuted" ||
+      what == "member-cleared" || what == "member-restarted" || what == "member-leaving")
+    return Turn::kIn;
+  if (what == "member-dead" || what == "member-left") return Turn::kOut;
+  return what == "member-suspect" ? Turn::kSuspect : Turn::kNone;
+}
+
+}  // namespace
+
+double Quantile(std::vector<double> values, double q) {
+  if (values.empty()) return std::numeric_limits<double>::quiet_NaN();
+  std::sort(values.begin(), values.end());
+  const auto at = static_cast<std::size_t>(std::lround(q * static_cast<double>(values.size() - 1)));
+  return values[std::min(at, values.size() - 1)];
+}
+
+Witness::Witness(const Scenario& scenario) : scenario_(scenario), up_(scenario.nodes) {}
+
+void Witness::Said(Seen seen) { seen_.push_back(std::move(seen)); }
+
+void Witness::Up(double at, std::size_t node) { up_[node].push_back({at}); }
+
+void Witness::Down(double at, std::size_t node) {
+  if (!up_[node].empty()) up_[node].back().to = std::min(up_[node].back().to, at);
+}
+
+bool Witness::RunsAt(std::size_t node, double at) const {
+  return std::any_of(up_[node].begin(), up_[node].end(),
+                     [&](const Span& s) { return at >= s.from && at < s.to; });
+}
+
+bool Witness::Takes(std::size_t node) const {
+  return !In(scenario_.other_cluster, node) && !In(scenario_.expect.refused, node);
+}
+
+std::vector<std::size_t> Witness::Named(const std::string& member) const {
+  std::vector<std::size_t> nodes;
+  for (std::size_t i = 0; i < scenario_.nodes; ++i) {
+    if (scenario_.NodeName(i) == member) nodes.push_back(i);
+  }
+  return nodes;
+}
+
+Verdict Witness::Judge(double end) const {
+  Verdict v;
+  Figures& f = v.figures;
+  std::vector<Seen> all = seen_;
+  std::stable_sort(all.begin(), all.end(), [](const Seen& a, const Seen& b) { return a.at < b.at; });
+  const double calm = scenario_.CalmAt();
+
+  std::map<std::pair<std::size_t, std::string>, std::size_t> returns;
+  std::set<std::size_t> doubted, refused, made_up;
+  std::map<std::pair<std::size_t, std::string>, double> told;  // the first death after it ended
+  std::vector<std::set<std::string>> views(scenario_.nodes);
+  for (const Seen& s : all) {
+    if (s.what == "view-in-doubt") {
+      if (s.at >= 0) ++f.doubts, doubted.insert(s.observer);
+    } else if (s.what == "name-taken") {
+      ++f.refusals;
+      refused.insert(s.observer);
+    } else if (s.what == "member-suspect") {
+      ++f.suspicions;
+    } else if (s.what == "member-returned") {
+      // Once back after it was really gone is no flapping.
+      ++returns[{s.observer, s.member}];
+    } else if (s.what == "member-dead") {
+      ++f.deaths;
+      const auto who = Named(s.member);
+      bool lives = false, allowed = who.empty();
+      for (const std::size_t n : who) {
+        lives = lives || RunsAt(n, s.at);
+        allowed = allowed || In(scenario_.expect.may_remove, n) || In(scenario_.expect.removed, n);
+      }
+      if (lives && !allowed) ++f.false_deaths;
+      told.emplace(std::pair{s.observer, s.member}, s.at);
+      if (s.at >= 0) told[{s.observer, s.member}] = std::min(told[{s.observer, s.member}], s.at);
+    }
+    if (TurnOf(s.what) == Turn::kIn && Named(s.member).empty()) made_up.insert(s.observer);
+  }
+  for (const auto& [pair, n] : returns) f.most_returns = std::max(f.most_returns, n);
+
+  // When each death was told, by each that ran all the while.
+  std::size_t pairs = 0, missed = 0;
+  for (const std::size_t gone : scenario_.expect.removed) {
+    double since = std::numeric_limits<double>::quiet_NaN();
+    for (const Span& s : up_[gone]) {
+      if (s.to < 1e17 && std::isnan(since)) since = s.to;
+    }
+    if (std::isnan(since)) {  // cut off, or stopped
+      for (const Fault& fault : scenario_.faults) {
+        if (In(fault.nodes, gone) || In(fault.to, gone) || In(fault.from, gone))
+          since = std::isnan(since) ? fault.at : std::min(since, fault.at);
+      }
+    }
+    for (std::size_t o = 0; o < scenario_.nodes; ++o) {
+      const double until = std::isnan(since) ? end : std::min(end, since + scenario_.expect.removed_within);
+      if (o == gone || In(scenario_.expect.removed, o) || In(scenario_.expect.in_doubt, o) || !Takes(o) ||
+          !RunsAt(o, since) || !RunsAt(o, until - 0.01))
+        continue;
+      ++pairs;
+      const auto it = told.find({o, scenario_.NodeName(gone)});
+      if (it == told.end() || it->second > until) {
+        ++missed;
+        v.broken.push_back(fmt::format("{} did not say within {} periods that {} is dead",
+                                       scenario_.NodeName(o), scenario_.expect.removed_within,
+                                       scenario_.NodeName(gone)));
+      } else {
+        f.detection.push_back(it->second - since);
+      }
+    }
+  }
+  f.missed = pairs == 0 ? 0 : static_cast<double>(missed) / static_cast<double>(pairs);
+
+  // One view: from when on every running node's view is the running nodes.
+  std::set<std::string> running;
+  for (std::size_t i = 0; i < scenario_.nodes; ++i) {
+    if (RunsAt(i, end) && Takes(i)) running.insert(scenario_.NodeName(i));
+  }
+  // Kept up as things are said: by how many names each view that counts is wrong, and how many views are.
+  struct Standing {
+    bool counts = false, in_doubt = false;
+    std::size_t wrong = 0;
+    bool good() const { return !counts || (wrong == 0 && !in_doubt); }
+  };
+  std::vector<Standing> standing(scenario_.nodes);
+  std::size_t bad = 0;
+  for (std::size_t i = 0; i < scenario_.nodes; ++i) {
+    standing[i].counts = RunsAt(i, end) && Takes(i);
+    standing[i].wrong = running.size() - running.count(scenario_.NodeName(i));
+    bad += standing[i].good() ? 0 : 1;
+  }
+  double since = -1;
+  bool one = false;
+  std::size_t next = 0;
+  const auto apply = [&](const Seen& s) {
+    Standing& of = standing[s.observer];
+    bad -= of.good() ? 0 : 1;
+    if (s.what == "started") {
+      views[s.observer].clear();
+      of.in_doubt = false;
+      of.wrong = running.size() - running.count(scenario_.NodeName(s.observer));
+    }
+    if (s.what == "view-in-doubt") of.in_doubt = true;
+    if (s.what == "view-sure") of.in_doubt = false;
+    const Turn turn = TurnOf(s.what);
+    const bool changed = s.member != scenario_.NodeName(s.observer) &&
+                         (turn == Turn::kIn    ? views[s.observer].insert(s.member).second
+                          : turn == Turn::kOut ? views[s.observer].erase(s.member) > 0
+                                               : false);
+    if (changed) of.wrong = running.contains(s.member) == (turn == Turn::kIn) ? of.wrong - 1 : of.wrong + 1;
+    bad += of.good() ? 0 : 1;
+  };
+  while (next < all.size() && all[next].at <= calm) apply(all[next++]);
+  one = bad == 0;
+  since = calm;
+  for (; next < all.size(); ++next) {
+    apply(all[next]);
+    const bool now = bad == 0;
+    if (now && !one) since = all[next].at;
+    one = now;
+  }
+  f.one_view = one ? std::max(0.0, since - calm) : -1;
+  if (!one) {
+    std::string which;
+    for (std::size_t i = 0; i < scenario_.nodes; ++i) {
+      if (!RunsAt(i, end) || !Takes(i)) continue;
+      std::set<std::string> view = views[i];
+      view.insert(scenario_.NodeName(i));
+      if (standing[i].good()) continue;
+      std::string lacks, extra;
+      for (const auto& name : running) lacks += view.contains(name) ? "" : " " + name;
+      for (const auto& name : view) extra += running.contains(name) ? "" : " " + name;
+      which += fmt::format("; {}{}{}{}{}{}", scenario_.NodeName(i), standing[i].in_doubt ? " in doubt" : "",
+                           lacks.empty() ? "" : " lacks", lacks, extra.empty() ? "" : " still has", extra);
+      if (which.size() > 400) break;
+    }
+    v.broken.push_back(fmt::format("in the end the views are not one{}", which));
+  } else if (f.one_view > scenario_.expect.one_view_within) {
+    v.broken.push_back(fmt::format("one view only after {:.1f} periods, not {}", f.one_view,
+                                   scenario_.expect.one_view_within));
+  }
+  if (f.false_deaths > scenario_.expect.most_false)
+    v.broken.push_back(fmt::format("{} deaths told of members that lived and could be reached, over {}",
+                                   f.false_deaths, scenario_.expect.most_false));
+  if (f.most_returns > scenario_.expect.most_returns)
+    v.broken.push_back(fmt::format("a member came back {} times in one view, over {}", f.most_returns,
+                                   scenario_.expect.most_returns));
+  for (const std::size_t n : scenario_.expect.in_doubt) {
+    if (!doubted.contains(n))
+      v.broken.push_back(fmt::format("{} never said that its view is in doubt", scenario_.NodeName(n)));
+  }
+  for (const std::size_t n : scenario_.expect.refused) {
+    if (!refused.contains(n))
+      v.broken.push_back(
+          fmt::format("node {} was not told that its name {} is taken", n, scenario_.NodeName(n)));
+  }
+  if (scenario_.expect.no_doubt && !doubted.empty())
+    v.broken.push_back(fmt::format("{} nodes said that their views are in doubt", doubted.size()));
+  if (!made_up.empty())
+    v.broken.push_back(fmt::format("{} nodes took members that nobody started", made_up.size()));
+  if (v.broken.size() > 12) v.broken.resize(12);
+  return v;
+}
+
+Sheet Witness::Table() const {
+  Rows rows("said", {{"at_periods", Numbers{}},
+                     {"observer", Texts{}},
+                     {"what", Texts{}},
+                     {"member", Texts{}},
+                     {"by", Texts{}},
+                     {"value", Wholes{}}});
+  for (const Seen& s : seen_) rows.Add(s.at, scenario_.NodeName(s.observer), s.what, s.member, s.by, s.value);
+  return rows.Take();
+}
+
+std::string Witness::Chart(const std::string& out, double end) const {
+  const std::size_t n = scenario_.nodes;
+  const double rows = static_cast<double>(n * n);
+  std::string script = GnuplotHead(out, 1200, std::clamp(rows * 5 + 120, 300.0, 2400.0), 9);
+  script += fmt::format(
+      "set title \"{}\"\nset xlabel \"probe periods after the warm-up\"\nset ylabel \"observer\"\n",
+      scenario_.title);
+  script += fmt::format("set xrange [{}:{}]\nset yrange [{}:0]\nunset key\n", -scenario_.warm_up, end, rows);
+  std::string tics;
+  for (std::size_t i = 0; i < n; ++i)
+    tics += fmt::format("{}\"{}\" {}", i == 0 ? "" : ", ", scenario_.NodeName(i),
+                        (static_cast<double>(i) + 0.5) * static_cast<double>(n));
+  script += "set ytics (" + tics + ")\n";
+  int object = 0;
+  const auto box = [&](double x0, double x1, double y0, double y1, const char* style) {
+    script += fmt::format("set object {} rect from {},{} to {},{} {}\n", ++object, x0, y0, x1, y1, style);
+  };
+  for (const Fault& f : scenario_.faults) {
+    for (int i = 0; i < f.times; ++i) {
+      const double at = f.at + i * f.again_after;
+      box(at, f.lasts > 0 ? at + f.lasts : std::max(end, at + 0.2), 0, rows,
+          "fs solid 0.15 noborder fc rgb \"#808080\" behind");
+    }
+  }
+  std::map<std::string, std::size_t> number;
+  for (std::size_t i = n; i-- > 0;) number[scenario_.NodeName(i)] = i;
+  std::map<std::pair<std::size_t, std::size_t>, std::pair<double, const char*>> open;
+  const char* const alive = "fs solid 0.8 noborder fc rgb \"#4c9f70\"";
+  const char* const suspect = "fs solid 0.9 noborder fc rgb \"#e0a030\"";
+  const char* const gone = "fs solid 0.9 noborder fc rgb \"#c03030\"";
+  const auto close = [&](std::size_t o, std::size_t m, double at) {
+    const auto it = open.find({o, m});
+    if (it == open.end()) return;
+    const double y = static_cast<double>(o * n + m);
+    box(it->second.first, at, y + 0.1, y + 0.9, it->second.second);
+    open.erase(it);
+  };
+  for (const Seen& s : seen_) {
+    if (s.what == "started") {
+      for (std::size_t m = 0; m < n; ++m) close(s.observer, m, s.at);
+      continue;
+    }
+    const auto it = number.find(s.member);
+    const Turn turn = TurnOf(s.what);
+    if (it == number.end() || turn == Turn::kNone) continue;
+    close(s.observer, it->second, s.at);
+    open[{s.observer, it->second}] = {s.at, turn == Turn::kIn ? alive : turn == Turn::kOut ? gone : suspect};
+  }
+  const auto left = open;
+  for (const auto& [pair, what] : left) close(pair.first, pair.second, end);
+  return script + "plot NaN\n";
+}
+
+}  // namespace ryeglade::cluster
