--- /dev/null
+++ b/lab/rollout/command.h
@@ -0,0 +1,30 @@
+// `ryeglade-lab rollout`: trials of rollouts in virtual time, as a table.
+#pragma once
+
+#include <string>
+
+namespace CLI {
+class App;
+}
+
+namespace ryeglade::rollout_lab {
+
+class Commands {
+ public:
+  explicit Commands(CLI::App& app);  // must live as long as the app
+  bool chosen() const;
+  int Run(const std::string& node_program);
+
+ private:
+  CLI::App* rollout_;
+  int Explore() const;
+  int Real(const std::string& node_program) const;
+
+  int runs_ = 200, workers_ = 4, seed_ = 1, nodes_ = 0, faults_ = 2, kills_ = 0;
+  double rate_ = 20;
+  bool ends_ = false, explore_ = false, real_ = false;
+  std::string variant_;
+  std::string set_ = "harms";
+};
+
+}  // namespace ryeglade::rollout_lab
--- /dev/null
+++ b/lab/rollout/tier.cpp
@@ -0,0 +1,370 @@
+#include "lab/rollout/tier.h"
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "http/call.h"
+#include "lab/node_process.h"
+
+namespace ryeglade::rollout_lab {
+namespace {
+
+constexpr int kLookWithin = 1000;  // ms
+constexpr Time kPause = 20'000;
+
+std::string Slurp(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+}
+
+void Put(const std::string& path, const std::string& text) {
+  std::ofstream out(path, std::ios::binary);
+  out << text;
+  if (!out.flush()) throw std::runtime_error("cannot write " + path);
+}
+
+}  // namespace
+
+Running::Running(const std::vector<std::string>& words, const std::string& log) : log_(log) {
+  std::vector<char*> argv;
+  argv.reserve(words.size() + 1);
+  for (const std::string& w : words) argv.push_back(const_cast<char*>(w.c_str()));
+  argv.push_back(nullptr);
+  pid_ = fork();
+  if (pid_ < 0) throw std::runtime_error("cannot start a process");
+  if (pid_ == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGTERM);  // a keeper ends its node then
+    for (const char* variable :
+         {"EDGE_CONFIG", "EDGE_NAME", "EDGE_LISTEN", "EDGE_DISCOVERY", "EDGE_MANAGEMENT"})
+      unsetenv(variable);
+    const int fd = open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    if (fd >= 0) dup2(fd, STDERR_FILENO), dup2(fd, STDOUT_FILENO);
+    execv(argv[0], argv.data());
+    _exit(127);
+  }
+}
+
+bool Running::Alive() {
+  if (pid_ <= 0) return false;
+  if (waitpid(pid_, &status_, WNOHANG) != pid_) return true;
+  pid_ = -1;
+  return false;
+}
+
+void Running::Signal(int number) const {
+  if (pid_ > 0) kill(pid_, number);
+}
+
+int Running::Wait(Time most, const std::function<void()>& turn) {
+  const Time end = Now() + most;
+  while (Alive() && Now() < end) turn();
+  if (pid_ > 0) return -1;
+  return WIFEXITED(status_) ? WEXITSTATUS(status_) : 128 + WTERMSIG(status_);
+}
+
+std::string Running::Log() const { return Slurp(log_); }
+
+Running::~Running() {
+  if (pid_ <= 0) return;
+  kill(pid_, SIGCONT);
+  kill(pid_, SIGTERM);
+  for (int i = 0; i < 1000 && Alive(); ++i) usleep(20'000);
+  if (pid_ > 0) {
+    kill(pid_, SIGKILL);
+    waitpid(pid_, &status_, 0);
+  }
+}
+
+uv_loop_t* RealTier::Init(uv_loop_t* loop) {
+  uv_loop_init(loop);
+  return loop;
+}
+
+RealTier::RealTier(const TierOptions& options)
+    : o_(options),
+      buffers_(std::size_t{256} << 20),
+      deadlines_(Init(&loop_)),
+      run_{&loop_, &deadlines_, &buffers_},
+      directory_(&run_),
+      nodes_(options.nodes),
+      cut_(options.nodes, {false, false}) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::string name = std::filesystem::temp_directory_path().string() + "/ryeglade-rollout-XXXXXX";
+  if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("cannot make a directory " + name);
+  root_ = name;
+  for (int i = 0; i < 3; ++i) {
+    replicas_.push_back(std::make_unique<lab::StandIn>(
+        &run_, &rules_, lab::StandInOptions{.speech = lab::Speech::kPlatform}));
+    directory_.Set(fmt::format("stand-in-{}", i), replicas_.back()->Listen());
+  }
+  const std::string discovery = directory_.Listen();
+  // The driver is the first on the network, keepers follow.
+  const auto pid = static_cast<unsigned>(getpid());
+  driver_ip_ = fmt::format("127.{}.{}.250", 20 + pid % 60, pid / 60 % 250 + 1);
+  std::vector<std::string> real{cluster::FreeAddress(driver_ip_)};
+  std::vector<std::string> faces{fmt::format("127.{}.{}.250", 120 + pid % 60, pid / 60 % 250 + 1)};
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    Node& n = nodes_[i];
+    n.ip = fmt::format("127.{}.{}.{}", 20 + pid % 60, pid / 60 % 250 + 1, i + 1);
+    n.control = cluster::FreeAddress(n.ip);
+    n.client = cluster::FreeAddress(n.ip);
+    n.directory = fmt::format("{}/k{}", root_, i);
+    n.config = fmt::format("{}/n{}.json", root_, i);
+    nlohmann::json config =
+        nlohmann::json::parse(lab::ConfigJson(n.client, discovery, directory_.Text(true)));
+    config["name"] = fmt::format("n{}", i);
+    config["settings"]["balancers"] = nodes_.size();
+    if (o_.memory_mb > 0) config["limits"]["memory_mb"] = o_.memory_mb;
+    Put(n.config, config.dump());
+    real.push_back(n.control);
+    faces.push_back(fmt::format("127.{}.{}.{}", 120 + pid % 60, pid / 60 % 250 + 1, i + 1));
+  }
+  if (o_.membership) WriteMembership();
+  network_ = std::make_unique<cluster::Network>(&run_, o_.seed, real, faces,
+                                                [this](std::size_t from, std::size_t to) {
+                                                  cluster::LinkState state;
+                                                  state.delay = delay_;
+                                                  if (from == 0 && to > 0) state.cut = cut_[to - 1].first;
+                                                  if (to == 0 && from > 0) state.cut = cut_[from - 1].second;
+                                                  return state;
+                                                });
+  for (std::size_t i = 0; i < nodes_.size(); ++i) StartKeeper(i);
+}
+
+// Straight from node to node: what fails here are the nodes themselves.
+void RealTier::WriteMembership() {
+  std::vector<std::string> listen;
+  for (Node& n : nodes_) {
+    listen.push_back(cluster::FreeAddress(n.ip));
+    n.status = cluster::FreeAddress(n.ip);
+  }
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    nodes_[i].settings = fmt::format("{}/n{}.toml", root_, i);
+    Put(nodes_[i].settings,
+        fmt::format("[membership]\nlisten = \"{}\"\ncluster = \"tier\"\nzone = \"{}\"\nseeds = [\"{}\", "
+                    "\"{}\"]\nnetworks = [\"127.0.0.0/8\"]\nstatus = \"{}\"\nperiod = \"200ms\"\nexchange = "
+                    "\"3s\"\nshrink_after = \"2s\"\n",
+                    listen[i], i % 2 == 0 ? "a" : "b", listen.front(), listen.back(), nodes_[i].status));
+  }
+}
+
+RealTier::~RealTier() {
+  clients_.clear();
+  for (Node& n : nodes_) n.keeper.reset();
+  // Nodes of keepers that were killed: whatever runs with a file of this tier's own directory.
+  try {
+    for (const pid_t pid : Ours("serve")) kill(pid, SIGKILL);
+  } catch (const std::exception&) {  // a process that went while it was looked at: the next tier has its own
+                                     // directory
+  }
+  network_->Close();
+  for (const auto& r : replicas_) r->Close();
+  directory_.Close();
+  deadlines_.Close();
+  for (int i = 0; i < 200 && uv_loop_alive(&loop_) != 0; ++i) uv_run(&loop_, UV_RUN_NOWAIT);
+  uv_loop_close(&loop_);
+  std::error_code ignored;
+  std::filesystem::remove_all(root_, ignored);
+}
+
+void RealTier::StartKeeper(std::size_t i) {
+  Node& n = nodes_[i];
+  n.keeper.reset();
+  std::vector<std::string> words{o_.program,       "keep",
+                                 "--node",         fmt::format("n{}", i),
+                                 "--zone",         i % 2 == 0 ? "a" : "b",
+                                 "--directory",    n.directory,
+                                 "--control",      n.control,
+                                 "--program",      o_.program,
+                                 "--config",       n.config,
+                                 "--release",      "old",
+                                 "--lease",        o_.lease,
+                                 "--ready-within", o_.ready_within,
+                                 "--end-within",   o_.end_within};
+  if (!n.settings.empty()) words.insert(words.end(), {"--settings", n.settings});
+  n.keeper = std::make_unique<Running>(words, fmt::format("{}/keeper-{}.log", root_, i));
+}
+
+void RealTier::KillKeeper(std::size_t i) {
+  nodes_[i].keeper->Signal(SIGKILL);
+  nodes_[i].keeper->Wait(5'000'000, [] { usleep(5000); });
+}
+
+bool RealTier::Until(const std::function<bool()>& done, Time most) {
+  const Time end = Now() + most;
+  while (!done()) {
+    if (Now() >= end) return false;
+    DeadlineId wake = deadlines_.Set(Now() + kPause, [] {});
+    uv_run(&loop_, UV_RUN_ONCE);
+    deadlines_.Cancel(wake);
+  }
+  return true;
+}
+
+std::optional<rollout::KeeperStatus> RealTier::Status(std::size_t i) const {
+  try {
+    return rollout::DecodeStatus(
+        HttpCall("the keeper at", nodes_[i].control, "GET", "/keeper", "", kLookWithin).body);
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string RealTier::KeeperLog(std::size_t i) const { return nodes_[i].keeper->Log(); }
+
+std::string RealTier::InForce(std::size_t i) const {
+  const auto s = Status(i);
+  return s ? s->in_force.id : "";
+}
+
+std::size_t RealTier::On(const std::string& release) const {
+  std::size_t n = 0;
+  for (std::size_t i = 0; i < nodes_.size(); ++i) n += InForce(i) == release ? 1 : 0;
+  return n;
+}
+
+pid_t RealTier::NodePid(std::size_t i) const {
+  const auto s = Status(i);
+  return s ? static_cast<pid_t>(s->pid) : -1;
+}
+
+void RealTier::SignalNode(std::size_t i, int number) const {
+  const pid_t pid = NodePid(i);
+  if (pid > 0) kill(pid, number);
+}
+
+std::optional<rollout::TierSaid> RealTier::Said(std::size_t i) const {
+  try {
+    return rollout::ReadTierSaid(
+        HttpCall("the status address", nodes_[i].status, "GET", "/nodes", "", kLookWithin).body);
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::size_t RealTier::Alive(std::size_t i) const {
+  const auto said = Said(i);
+  if (!said || !said->joined || said->in_doubt || !said->settled) return 0;
+  std::size_t n = 1;
+  for (const auto& [name, standing] : said->standings) n += standing == "alive" ? 1 : 0;
+  return n;
+}
+
+bool RealTier::InDoubt(std::size_t i) const {
+  const auto said = Said(i);
+  return said && said->joined && said->in_doubt;
+}
+
+// The processes that name `word` and, within the tier's directory, `file`.
+std::vector<pid_t> RealTier::Ours(const std::string& word, const std::string& file) const {
+  std::vector<pid_t> all;
+  for (const auto& entry : std::filesystem::directory_iterator("/proc")) {
+    const std::string name = entry.path().filename().string();
+    if (name.find_first_not_of("0123456789") != std::string::npos) continue;
+    const std::string command = Slurp(entry.path().string() + "/cmdline");
+    const bool said = command.find(std::string("\0", 1) + word + std::string("\0", 1)) != std::string::npos;
+    if (said && command.find(file.empty() ? root_ : file) != std::string::npos)
+      all.push_back(std::stoi(name));
+  }
+  return all;
+}
+
+std::size_t RealTier::NodesAlive(std::size_t i) const { return Ours("serve", nodes_[i].config).size(); }
+
+bool RealTier::Up() {
+  return Until(
+      [this] {
+        for (std::size_t i = 0; i < nodes_.size(); ++i) {
+          const auto s = Status(i);
+          if (!s || s->phase != rollout::Phase::kRunning) return false;
+        }
+        return true;
+      },
+      30'000'000);
+}
+
+void RealTier::StartClients() {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    load::LoadPlan plan;
+    plan.profile = {{o_.rate, o_.rate, o_.seconds}};
+    plan.seed = o_.seed * 1000 + i;
+    load::LoadTarget target;
+    target.address = nodes_[i].client;
+    target.openai = false;
+    target.give_up = 15'000'000;
+    clients_.push_back(std::make_unique<load::LoadClient>(&run_, plan, target));
+    clients_.back()->Start();
+  }
+}
+
+void RealTier::Stop() {
+  for (const auto& c : clients_) c->Halt();
+  Until(
+      [this] {
+        return std::all_of(clients_.begin(), clients_.end(), [](const auto& c) { return c->done(); });
+      },
+      static_cast<Time>(o_.seconds * 1e6) + 20'000'000);
+}
+
+std::string RealTier::Plan(const std::string& name, const std::string& release, const std::string& stages,
+                           const std::string& rest) {
+  std::string text = fmt::format("name = \"{}\"\nunreached_after = \"6s\"\n", name);
+  if (rest.find("most_passed_over") != std::string::npos) text += rest.substr(0, rest.find('\n') + 1);
+  text += "[release]\n" + release + "\n";
+  for (std::size_t i = 0; i < nodes_.size(); ++i)
+    text += fmt::format("[[node]]\nname = \"n{}\"\nkeeper = \"{}\"\nzone = \"{}\"\n", i,
+                        network_->face(i + 1), i % 2 == 0 ? "a" : "b");
+  text += stages;
+  if (rest.find("most_passed_over") == std::string::npos) text += rest;
+  if (o_.membership) {
+    text += "[membership]\nstatus = [";
+    for (const Node& n : nodes_) text += fmt::format("\"{}\", ", n.status);
+    text += "]\n";
+  }
+  std::string path = fmt::format("{}/{}.toml", root_, name);
+  Put(path, text);
+  return path;
+}
+
+std::unique_ptr<Running> RealTier::Rollout(const std::string& verb, const std::string& plan,
+                                           const std::string& driver, const std::vector<std::string>& more) {
+  std::vector<std::string> words{o_.program, "rollout", verb,     "--plan",  plan,
+                                 "--driver", driver,    "--from", driver_ip_};
+  if (verb != "plan" && verb != "pause") words.insert(words.end(), {"--round", "0.2", "--lease", o_.lease});
+  words.insert(words.end(), more.begin(), more.end());
+  return std::make_unique<Running>(words, fmt::format("{}/driver-{}.log", root_, logs_++));
+}
+
+void RealTier::Cut(std::size_t i, bool to_keeper, bool from_keeper) { cut_[i] = {to_keeper, from_keeper}; }
+void RealTier::Delay(Time one_way) { delay_ = one_way; }
+
+RealTier::Served RealTier::served() const {
+  Served s;
+  s.two_at_once = rules_.two_at_once;
+  for (const auto& client : clients_) {
+    for (const auto& c : client->tally().classes()) {
+      const auto of = [&](load::Outcome o) { return c.outcomes[static_cast<std::size_t>(o)]; };
+      s.asked += c.asked;
+      s.worth += c.worth, s.worth_asked += c.worth_asked;
+      s.served += of(load::Outcome::kServed);
+      s.refused += of(load::Outcome::kRefused);
+      s.unheard += of(load::Outcome::kNothing) + of(load::Outcome::kNotSent);
+      s.other += of(load::Outcome::kRejected) + of(load::Outcome::kFailed) + of(load::Outcome::kBroken);
+    }
+  }
+  return s;
+}
+
+}  // namespace ryeglade::rollout_lab
