--- a/lab/experiment/command.cpp
+++ b/lab/experiment/command.cpp
@@ -32,7 +32,7 @@
   for (const int number : {SIGINT, SIGTERM}) {
     struct sigaction act {};
     act.sa_handler = [](int) { interrupted = 1; };
-    act.sa_flags = SA_RESETHAND;  // the second time it ends at once
+    act.sa_flags = static_cast<int>(SA_RESETHAND);  // the second time it ends at once
     sigaction(number, &act, nullptr);
   }
 }
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -442,11 +442,12 @@
   Request& r = requests_[e.id];
   r.info = e;
   r.info.cls = std::clamp(e.cls, 0, static_cast<int>(settings_.classes.size()) - 1);
+  r.info.prompt_tokens = std::min(1e9, std::max(0.0, e.prompt_tokens));  // 0 for what is no number
   const ClassSettings& c = ClassOf(r);
   r.arrived = now_;
   r.deadline = now_ + std::max<Time>(0, e.patience);
-  r.aim_at =
-      now_ + c.aim + static_cast<Time>(static_cast<double>(c.aim_per_1000_tokens) * e.prompt_tokens / 1000.0);
+  r.aim_at = now_ + c.aim +
+             static_cast<Time>(static_cast<double>(c.aim_per_1000_tokens) * r.info.prompt_tokens / 1000.0);
   k_.retry_budget = std::min(kBudgetMost, k_.retry_budget + kRetryShare);
   CountKeys(e);
   r.over_share = OverShare(e.tenant);
--- a/src/timeline/flight_recorder.h
+++ b/src/timeline/flight_recorder.h
@@ -110,7 +110,6 @@
   Coalescer coalescer_;
   std::string notes_;  // of the decision that is being taken
   std::uint64_t in_notes_ = 0;
-  Time noted_at_ = 0;
   UnusualWatch watch_;
   std::map<policy::ReplicaId, Member> members_;
   Roster roster_;
--- a/tests/router_rules_test.cpp
+++ b/tests/router_rules_test.cpp
@@ -2,6 +2,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <set>
 
 #include "node.h"
@@ -30,6 +32,24 @@
   EXPECT_EQ(n.Finals(id), 1u);
 }
 
+// Found by the sanitizers on damaged frames: an aim worked out from -1.6e22 tokens does not fit a time.
+TEST(NoRequestLost, AbsurdPromptLengthsAreBounded) {
+  Settings s = BasicSettings();
+  s.classes[0].aim_per_1000_tokens = kSecond;
+  Node n(s);
+  n.List({Ready(1)});
+  RequestArrived e;
+  e.patience = 3 * kSecond;
+  for (const double tokens : {-1.55644e22, 1e300, std::nan(""), std::numeric_limits<double>::infinity()}) {
+    ++e.id;
+    e.prompt_tokens = tokens;
+    n.Give(e);
+    EXPECT_EQ(n.Sends(e.id).size() + n.Finals(e.id), 1u) << tokens;
+  }
+  n.Pass(10 * kSecond);
+  for (RequestId id = 1; id <= e.id; ++id) EXPECT_EQ(n.Finals(id) + n.Sends(id).size(), 1u);
+}
+
 // Found on an overloaded day: a try came with no patience left, and a timer would have been a tick too late.
 TEST(NoRequestLost, NoPatienceLeftIsAnsweredAtOnce) {
   Node n(BasicSettings());
