--- a/lab/emulator/world.cpp
+++ b/lab/emulator/world.cpp
@@ -250,7 +250,7 @@
     const auto sight = [this](std::size_t n, std::vector<ReplicaView>* fleet) {
       for (const Host& h : hosts_) {
         ReplicaView v = nodes_[n].policy->seen(h.entry.id);
-        if (v.entry.id == h.entry.id) fleet->push_back(std::move(v));
+        if (v.entry.id == h.entry.id) fleet->push_back(v);
       }
     };
     for (const auto& [n, event] : tier_->Turn(now_, sight)) {
@@ -1111,6 +1111,13 @@
     result_.kept_share = asked_ > 0 ? kept_ / asked_ : 0;
     result_.wasted_share =
         result_.attempts > 0 ? static_cast<double>(wasted_) / static_cast<double>(result_.attempts) : 0;
+    if (day_.faults.empty()) return;
+    double trouble = day_.seconds, calm = 0;
+    for (const FaultSpec& f : day_.faults) {
+      trouble = std::min(trouble, f.at);
+      calm = std::max(calm, f.at + f.lasts);
+    }
+    result_.back = BackAfter(result_.seconds, day_.seconds, day_.warm, trouble, calm);
   }
 
   DaySpec day_;
@@ -1141,6 +1148,24 @@
 
 }  // namespace
 
+double BackAfter(const std::vector<Second>& day, double length, double warm, double trouble, double calm) {
+  // What is served of what is asked for from `from` on; more than all where a backlog is worked off.
+  const auto share = [&](double from, double upto) {
+    double worth = 0, asked = 0;
+    for (auto s = static_cast<std::size_t>(from); s < static_cast<std::size_t>(upto) && s < day.size(); ++s) {
+      worth += day[s].worth;
+      asked += day[s].worth_asked;
+    }
+    return asked > 0 ? worth / asked : 0;
+  };
+  constexpr double kStretch = 5;
+  const double steady = 0.95 * share(warm, trouble);
+  for (double t = std::ceil(calm); t + 2 * kStretch <= length; ++t) {
+    if (share(t, t + kStretch) >= steady && share(t + kStretch, t + 2 * kStretch) >= steady) return t - calm;
+  }
+  return std::max(0.0, length - calm);
+}
+
 std::vector<std::string> FaultNames() {
   return {"drain",      "restart",   "vanish", "slow",    "rack",   "zone",     "cut",   "dark", "late",
           "contradict", "node-dies", "load",   "replace", "invent", "talk-cut", "fails", "hangs"};
--- a/lab/emulator/world.h
+++ b/lab/emulator/world.h
@@ -126,11 +126,18 @@
   std::vector<std::vector<std::uint32_t>> served_in;  // by span of share_every, then replica
   std::vector<Second> seconds;
   Breaks breaks;
+  double back = 0;  // seconds from the end of the last fault until BackAfter; 0 where there are no faults
   double policy_cpu_s = 0;          // only where measured
   double Quantile(double q) const;  // of first tokens, ms
   double Share() const { return worth_asked > 0 ? worth / worth_asked : 0; }
 };
 
+// Seconds from `calm` (the last fault's end, s) until the worth served is at least 95% of what it was, as a
+// share of the worth asked for, between `warm` and `trouble` (the first fault's begin), in two stretches of 5
+// s in a row. Never: all that is left of the day. For days that stay down after what brought them down is
+// over.
+double BackAfter(const std::vector<Second>& day, double length, double warm, double trouble, double calm);
+
 // Sees all that nodes are told and decide; for tests and records. May be null.
 class DayWatch {
  public:
--- a/lab/experiment/measures.cpp
+++ b/lab/experiment/measures.cpp
@@ -52,6 +52,8 @@
        [](const DayResult& d, double) { return Per(Whole(d.full), d.attempts); }},
       {"errors", "errors, silences and failed connections, a thousand requests", -1, 2,
        [](const DayResult& d, double) { return 1000 * Per(Whole(d.errors), d.calls); }},
+      {"back_s", "seconds after the last fault until 95% of the steady worth", -1, 1,
+       [](const DayResult& d, double) { return d.back; }},
       {"cold_pushed", "seconds that cold replicas had too much to read", -1, 1,
        [](const DayResult& d, double) { return Whole(d.breaks.cold_pushed); }},
       {"worst_replica", "most served by one replica to the mean", -1, 2,
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -432,7 +432,7 @@
   void Fleet(std::vector<policy::ReplicaView>* all) const override {
     for (const auto& [id, yes] : discovery_.hosts()) {
       policy::ReplicaView seen = decisions_.router().seen(id);
-      if (seen.entry.id == id) all->push_back(std::move(seen));
+      if (seen.entry.id == id) all->push_back(seen);
     }
   }
   std::string NameOf(policy::ReplicaId id) const override { return discovery_.NameOf(id); }
--- a/tests/tier_test.cpp
+++ b/tests/tier_test.cpp
@@ -576,6 +576,42 @@
   EXPECT_EQ(r.breaks.all(), 0U) << r.breaks.Words();
 }
 
+// Worth that stays down after its cause is over shows, and worth that is back shows when.
+TEST(TierDay, WhenADayIsBackIsSeenAndThatItNeverIs) {
+  std::vector<emulator::Second> day(60);
+  for (std::size_t s = 0; s < day.size(); ++s) {
+    day[s].worth_asked = 10;
+    day[s].worth = s < 20 ? 9 : s < 33 ? 2 : 9;
+  }
+  EXPECT_NEAR(emulator::BackAfter(day, 60, 5, 20, 25), 8, 0.01);
+  for (std::size_t s = 33; s < day.size(); ++s) day[s].worth = 5;
+  EXPECT_NEAR(emulator::BackAfter(day, 60, 5, 20, 25), 35, 0.01);
+  for (std::size_t s = 25; s < day.size(); ++s) day[s].worth = 8.6;  // 95.6% of it
+  EXPECT_NEAR(emulator::BackAfter(day, 60, 5, 20, 25), 0, 0.01);
+  day[31].worth = 0;  // good for a moment is not back
+  EXPECT_GT(emulator::BackAfter(day, 60, 5, 20, 25), 5);
+}
+
+// It knows what comes to it after a second, and the others must have heard that before its part rises.
+TEST(Shares, ANodeThatHasJustStartedTakesPartAtAGrowingShare) {
+  Time now = kSecond;
+  ShareModel m("me", 1, now);
+  const std::vector<double> others(9, 20);
+  const double first = ShareAfter(m, others, 20, 2, &now);
+  EXPECT_LT(first, 0.03);  // what a node without traffic gets
+  EXPECT_GT(first, 0.01);
+  double last = first;
+  for (int s = 0; s < 20; ++s) {
+    const double next = ShareAfter(m, others, 20, 1, &now);
+    EXPECT_GE(next, last * 0.9);
+    last = next;
+  }
+  EXPECT_NEAR(last, 0.1, 0.01);
+  // All start at once: nobody has anything to go by, and each has its equal part until rates are told.
+  ShareModel fresh("me", 1, now);
+  EXPECT_NEAR(ShareAfter(fresh, std::vector<double>(9, 0), 0, 2, &now), 0.1, 0.001);
+}
+
 TEST(TierDay, EvidenceSparesMostOfTheErrorsAndOneThatLiesTakesNothing) {
   emulator::DaySpec d = Day();
   d.fleet.nodes = 24;
