--- a/src/base/tcp.cpp
+++ b/src/base/tcp.cpp
@@ -20,6 +20,10 @@
 
 }  // namespace
 
+socklen_t LengthOf(const sockaddr* address) {
+  return address->sa_family == AF_INET6 ? sizeof(sockaddr_in6) : sizeof(sockaddr_in);
+}
+
 bool ParseAddress(const std::string& text, sockaddr_storage* address) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string::npos) return false;
--- a/src/base/tcp.h
+++ b/src/base/tcp.h
@@ -22,6 +22,7 @@
   virtual void OnDrained(Handle) {}         // all that was written is with the kernel
 };
 
+socklen_t LengthOf(const sockaddr* address);  // bytes, of its family: IPv6, else IPv4
 bool ParseAddress(const std::string& text, sockaddr_storage* address);  // "ip:port", "[ip]:port"
 
 // Gives `listener` a socket of the address's family on which SO_REUSEPORT is set, before it is bound: a
--- a/src/http/call.cpp
+++ b/src/http/call.cpp
@@ -47,11 +47,11 @@
   sockaddr_storage mine{};
   if (!from.empty()) {
     if (!ParseAddress(from + ":0", &mine)) throw std::runtime_error(from + " is not an address");
-    if (bind(s.fd, reinterpret_cast<const sockaddr*>(&mine), sizeof(sockaddr_in)) != 0)
-      throw gone("bind", errno);
+    const auto* own = reinterpret_cast<const sockaddr*>(&mine);
+    if (bind(s.fd, own, LengthOf(own)) != 0) throw gone("bind", errno);
   }
-  const socklen_t length = to.ss_family == AF_INET6 ? sizeof(sockaddr_in6) : sizeof(sockaddr_in);
-  if (connect(s.fd, reinterpret_cast<const sockaddr*>(&to), length) != 0) throw gone("connect", errno);
+  const auto* peer = reinterpret_cast<const sockaddr*>(&to);
+  if (connect(s.fd, peer, LengthOf(peer)) != 0) throw gone("connect", errno);
   const std::string request =
       method + " " + path + " HTTP/1.1\r\nHost: " + at + "\r\nConnection: close\r\n" +
       (method == "GET" ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") + "\r\n" + body;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -33,10 +33,6 @@
   return std::string(host) + ":" + std::to_string(ntohs(in4->sin_port));
 }
 
-std::size_t LengthOf(const sockaddr* address) {
-  return address->sa_family == AF_INET6 ? sizeof(sockaddr_in6) : sizeof(sockaddr_in);
-}
-
 // A message in an exchange: its length in four bytes, little-endian, ahead.
 std::string Framed(const std::string& message) {
   std::string out;
