Let a leaving node that is slow be seen as leaving, and leave once

Ruled out: its own last words (its socket closes with them) and deaths (none was told). Left: RunSuspects said of a leaving member that it has left on one accuser's word after one suspicion time (1.25 s there); the stopped node then raised its incarnation (Pause, and LearnBallot), so that it was back and left a second time.

Change: as many accusers as a death takes, nobody that vouches, twice the time, no majority; one that leaves raises no incarnation. That one has left, heard from others while it is reached here, is not taken, and one that stays refutes it at its own incarnation (before, it did not). The emulator's nodes leave over 1.5 s.

--- a/lab/cluster/emulated.cpp
+++ b/lab/cluster/emulated.cpp
@@ -19,8 +19,9 @@
 namespace ryeglade::cluster {
 namespace {
 
-constexpr Time kWay = 150;                            // microseconds, one way
-constexpr std::size_t kWaitingMost = 250;             // datagrams that wait at a stopped process's socket
+constexpr Time kWay = 150;                 // microseconds, one way
+constexpr std::size_t kWaitingMost = 250;  // datagrams that wait at a stopped process's socket
+constexpr Time kLeaves = 1'500'000;        // from SIGTERM to the end, as a node with little to finish
 constexpr std::uint64_t kOrigin = 1'700'000'000'000;  // ms, of first incarnations
 
 using membership::Message;
@@ -102,6 +103,7 @@
     std::unique_ptr<membership::Model> model;
     std::unique_ptr<Baseline> baseline;
     bool up = false, stopped = false;
+    bool leaving = false;
     std::uint64_t life = 0;  // counts processes, so that what was meant for one does not reach the next
     std::deque<Arrival> waiting;
   };
@@ -111,6 +113,7 @@
     std::size_t node = 0;
     std::uint64_t life = 0;          // of a tick
     std::optional<Arrival> arrival;  // none: a tick
+    bool last = false;               // a leaving process has finished its work
     bool operator<(const Event& o) const { return at != o.at ? at > o.at : order > o.order; }
   };
 
@@ -131,7 +134,7 @@
     Node& n = nodes_[i];
     if (n.up) return;
     n.up = true;
-    n.stopped = false;
+    n.stopped = n.leaving = false;
     n.waiting.clear();
     ++n.life;
     const double at = Periods(now_);
@@ -173,6 +176,11 @@
     Push({now_ + 1, 0, i, n.life, std::nullopt});
   }
 
+  static void End(Node& n) {
+    n.up = n.stopped = n.leaving = false;
+    ++n.life;
+  }
+
   void Act(const Step& step) {
     Node& n = nodes_[step.node];
     switch (step.act) {
@@ -181,19 +189,20 @@
         break;
       case Step::Do::kTerm:
         if (n.up && n.model) {
+          if (n.leaving) break;
+          n.leaving = true;
+          witness_.Down(Periods(now_), step.node);
           actions_.Clear();
           n.model->Leave(now_, actions_);
           Carry(step.node);
-          actions_.Clear();
-          n.model->Left(now_, actions_);
-          Carry(step.node);
+          Push({now_ + kLeaves, 0, step.node, n.life, std::nullopt, true});
+          break;
         }
         [[fallthrough]];
       case Step::Do::kKill:
         if (!n.up) break;
-        n.up = n.stopped = false;
-        ++n.life;
-        witness_.Down(Periods(now_), step.node);
+        if (!n.leaving) witness_.Down(Periods(now_), step.node);
+        End(n);
         break;
       case Step::Do::kStop:
         n.stopped = n.up;
@@ -205,12 +214,12 @@
         n.waiting.clear();
         for (Arrival& a : waiting) Push({now_, 0, step.node, n.life, std::move(a)});
         Push({now_ + 1, 0, step.node, n.life, std::nullopt});
+        if (n.leaving) Push({now_ + kLeaves / 8, 0, step.node, n.life, std::nullopt, true});
         break;
       }
       case Step::Do::kBeside:  // here: the same process with a new incarnation
         if (n.up) {
-          n.up = false;
-          ++n.life;
+          End(n);
           witness_.Down(Periods(now_), step.node);
           Start(step.node);
         }
@@ -225,6 +234,12 @@
     if (!n.up) return;
     if (!e.arrival) {
       if (e.life != n.life || n.stopped) return;
+      if (e.last) {
+        actions_.Clear();
+        n.model->Left(now_, actions_);
+        Carry(e.node);
+        return End(n);
+      }
       if (n.model) {
         actions_.Clear();
         n.model->Tick(now_, actions_);
--- a/src/membership/membership_model.cpp
+++ b/src/membership/membership_model.cpp
@@ -264,9 +264,9 @@
   if (record.uid == self_.uid || record.address == self_.address) {
     // Said of this process or of an earlier one of this node: what is above must not stand.
     const bool mine = record.uid == self_.uid;
-    const bool gone = record.state == State::kDead || (record.state == State::kLeft && !mine);
+    const bool gone = record.state == State::kDead || record.state == State::kLeft;
     if (record.incarnation > self_.incarnation ||
-        (record.incarnation == self_.incarnation && (gone || !mine)))
+        (record.incarnation == self_.incarnation && ((gone && self_.state == State::kAlive) || !mine)))
       Raise(now, record.incarnation, out);
     return;
   }
@@ -352,10 +352,11 @@
                              record.incarnation == m->record.incarnation)
     return;
   if (gone) {
-    if (record.state == State::kDead && m->live()) {
-      if (record.accusers.size() < Needed(*m)) return;  // nobody can kill alone
+    if (m->live() && by != record.name) {
+      if (record.state == State::kDead && record.accusers.size() < Needed(*m))
+        return;  // nobody can kill alone
       if (m->round_trip > 0 && now - m->round_trip <= Periods(2) && options_.vouches) {
-        // Here it is alive. It is told of its death with the next message and says otherwise; others hear so.
+        // Here it is alive. It is told of its end by those who believe it and says otherwise; others hear so.
         Cast(now, *m, true);
         StartProbe(now, *m, out);
         return;
@@ -395,7 +396,7 @@
   if (name == self_.name) {
     if (!news.ballot.vouch && news.record.incarnation == self_.incarnation) {
       Well(1);  // others have cause to think so
-      Raise(now, news.record.incarnation, out);
+      if (self_.state == State::kAlive) Raise(now, news.record.incarnation, out);
     }
     return;
   }
@@ -658,7 +659,9 @@
   hold_until_ = now + options_.period;
   next_probe_ = std::max(next_probe_, now + options_.period / 4);
   Well(2);
-  if (span >= options_.period) Raise(now, self_.incarnation, out);  // before anything else is said
+  // Before anything else is said. Of one that leaves the others are only a little early to think it gone: if
+  // it came back, it would go twice.
+  if (span >= options_.period && self_.state == State::kAlive) Raise(now, self_.incarnation, out);
 }
 
 // Sees by its own clock that it was not running, before it makes anything of what waits to be read.
@@ -864,8 +867,11 @@
     for (const Ballot& b : m.ballots) {
       if (b.vouch) m.suspect_since = std::max(m.suspect_since, b.at);
     }
-    const bool over = now - m.suspect_since >= (mass ? 2 * waits : waits);
-    if (m.record.state == State::kLeaving && over) {  // it said so itself
+    const bool leaves = m.record.state == State::kLeaving;
+    const bool over = now - m.suspect_since >= (mass || leaves ? 2 * waits : waits);
+    const bool agreed = accusers.size() >= Needed(m) && Vouchers(m, now).empty();
+    // It said so itself, so that no majority is asked; but it may only be slow, and nothing hangs on haste.
+    if (leaves && over && agreed) {
       Record left = m.record;
       left.state = State::kLeft;
       SetGone(now, m, left, self_.name, out);
@@ -873,10 +879,10 @@
     }
     // Who is reached is known late where each is probed once in many periods: it is looked at before a death.
     const bool soon =
-        now - m.suspect_since >= waits - Periods(kCensusTakes + 1) && accusers.size() >= Needed(m);
+        !leaves && now - m.suspect_since >= waits - Periods(kCensusTakes + 1) && accusers.size() >= Needed(m);
     const bool counted = !options_.majority || (soon && Census(now, m.suspect_since, out));
     const bool may = !(options_.majority && in_doubt_) && counted && now >= hold_until_;
-    if (over && may && accusers.size() >= Needed(m) && Vouchers(m, now).empty()) {
+    if (!leaves && over && may && agreed) {
       Record dead = m.record;
       dead.state = State::kDead;
       if (accusers.size() > kMostAccusers) accusers.resize(kMostAccusers);
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -270,6 +270,88 @@
   EXPECT_EQ(s.model.StandingOf("b"), Standing::kDead);
 }
 
+TEST(Membership, NobodyIsSaidToHaveLeftByHearsayWhileItIsReached) {
+  Solo s;
+  for (const char* name : {"a", "b", "c", "d"}) s.Meet(MakeRecord(name, 5));
+  Message m = s.From(MakeRecord("a", 5), Kind::kNews);
+  News news;
+  news.record = MakeRecord("d", 5, State::kLeft);
+  m.news = {news};
+  s.Take(m);
+  EXPECT_EQ(s.model.StandingOf("d"), Standing::kAlive);  // reached just now
+  EXPECT_EQ(std::count_if(s.out.sends.begin(), s.out.sends.end(),
+                          [](const auto& send) { return send.message.kind == Kind::kPing; }),
+            1);
+  s.Take(s.From(MakeRecord("d", 5, State::kLeft), Kind::kNews));  // it says so itself
+  EXPECT_EQ(s.model.StandingOf("d"), Standing::kLeft);
+  m.news[0].record = MakeRecord("c", 5, State::kLeft);
+  s.now += 3'000'000;  // its own evidence is old
+  s.Take(m);
+  EXPECT_EQ(s.model.StandingOf("c"), Standing::kLeft);
+}
+
+TEST(Membership, OneThatLeavesAndFallsSilentHasLeftByTheWordOfSeveral) {
+  Solo s;
+  for (const char* name : {"a", "b", "c", "d", "e"}) s.Meet(MakeRecord(name, 5));
+  s.Take(s.From(MakeRecord("d", 6, State::kLeaving), Kind::kNews));
+  ASSERT_EQ(s.model.StandingOf("d"), Standing::kLeaving);
+  std::uint64_t seq = 0;
+  const auto accuse = [&](const char* by) {
+    Message m = s.From(MakeRecord(by, 5), Kind::kNews);
+    News news;
+    news.kind = News::Kind::kBallot;
+    news.record.name = "d";
+    news.record.incarnation = 6;
+    news.ballot = {by, false, ++seq, 0};
+    m.news = {news};
+    s.Take(m);
+  };
+  // The others answer, d does not; but for a it would be this node's word alone.
+  const auto run = [&](int steps, std::initializer_list<const char*> accusers) {
+    for (int i = 0; i < steps && s.model.StandingOf("d") != Standing::kLeft; ++i) {
+      s.Step();
+      const auto sends = s.out.sends;
+      for (const auto& send : sends) {
+        if (send.message.kind != Kind::kPing || send.message.target == "d") continue;
+        Message ack = s.From(MakeRecord(send.message.target.c_str(), 5), Kind::kAck);
+        ack.seq = send.message.seq;
+        s.Take(ack);
+      }
+      if (i % 20 == 0) {
+        for (const char* by : accusers) accuse(by);
+      }
+    }
+  };
+  run(300, {"a"});
+  EXPECT_EQ(s.model.StandingOf("d"), Standing::kSuspect);
+  run(150, {"a", "b"});
+  EXPECT_EQ(s.model.StandingOf("d"), Standing::kLeft);
+}
+
+TEST(Membership, OneThatLeavesDoesNotComeBackToRefuteItsEnd) {
+  Solo s;
+  for (const char* name : {"a", "b"}) s.Meet(MakeRecord(name, 5));
+  Message m = s.From(MakeRecord("a", 5), Kind::kNews);
+  News news;
+  news.record = s.model.self();
+  news.record.state = State::kLeft;
+  m.news = {news};
+  s.Take(m);
+  EXPECT_EQ(s.model.self().incarnation, news.record.incarnation + 1);  // said of one that stays
+  s.out.Clear();
+  s.model.Leave(s.now, s.out);
+  const std::uint64_t leaving = s.model.self().incarnation;
+  for (const State state : {State::kLeft, State::kDead}) {
+    m.news[0].record = s.model.self();
+    m.news[0].record.state = state;
+    s.Take(m);
+  }
+  s.now += 5'000'000;  // it was not running
+  s.Step();
+  EXPECT_EQ(s.model.self().incarnation, leaving);
+  EXPECT_EQ(s.model.self().state, State::kLeaving);
+}
+
 TEST(Membership, TheDeadDoNotComeBackByHearsay) {
   Solo s;
   for (const char* name : {"a", "b", "c", "d"}) s.Meet(MakeRecord(name, 5));
