Keep what a node has to tell in a queue of its own, and count the settled view as it changes

By the profile: every datagram went through a map of up to 512 pieces of news (a third of the time), every second the whole settled view was looked up by name at each node, each suspect's accusers were gathered twice a tick, and the speaker of each ballot was looked up though most ballots had been heard before.

Change: NewsQueue (two flat tables; what is gone through lies apart from the pieces), a count of the settled view's live members kept as it changes, accusers gathered once, known ballots passed over first; the lab's witness finds nodes by name in a map. No decision changes.

--- a/lab/cluster/judge.cpp
+++ b/lab/cluster/judge.cpp
@@ -33,7 +33,9 @@
   return values[std::min(at, values.size() - 1)];
 }
 
-Witness::Witness(const Scenario& scenario) : scenario_(scenario), up_(scenario.nodes) {}
+Witness::Witness(const Scenario& scenario) : scenario_(scenario), up_(scenario.nodes) {
+  for (std::size_t i = 0; i < scenario.nodes; ++i) named_[scenario.NodeName(i)].push_back(i);
+}
 
 void Witness::Said(Seen seen) { seen_.push_back(std::move(seen)); }
 
@@ -52,12 +54,10 @@
   return !In(scenario_.other_cluster, node) && !In(scenario_.expect.refused, node);
 }
 
-std::vector<std::size_t> Witness::Named(const std::string& member) const {
-  std::vector<std::size_t> nodes;
-  for (std::size_t i = 0; i < scenario_.nodes; ++i) {
-    if (scenario_.NodeName(i) == member) nodes.push_back(i);
-  }
-  return nodes;
+const std::vector<std::size_t>& Witness::Named(const std::string& member) const {
+  static const std::vector<std::size_t> kNone;
+  const auto it = named_.find(member);
+  return it == named_.end() ? kNone : it->second;
 }
 
 Verdict Witness::Judge(double end) const {
@@ -84,7 +84,7 @@
       ++returns[{s.observer, s.member}];
     } else if (s.what == "member-dead") {
       ++f.deaths;
-      const auto who = Named(s.member);
+      const auto& who = Named(s.member);
       bool lives = false, allowed = who.empty();
       for (const std::size_t n : who) {
         lives = lives || RunsAt(n, s.at);
--- a/lab/cluster/judge.h
+++ b/lab/cluster/judge.h
@@ -58,11 +58,12 @@
   };
   bool RunsAt(std::size_t node, double at) const;
   bool Takes(std::size_t node) const;  // belongs in the one view in the end
-  std::vector<std::size_t> Named(const std::string& member) const;
+  const std::vector<std::size_t>& Named(const std::string& member) const;
 
   Scenario scenario_;
   std::vector<Seen> seen_;
   std::vector<std::vector<Span>> up_;
+  std::map<std::string, std::vector<std::size_t>> named_;  // two nodes may hold one name
 };
 
 double Quantile(std::vector<double> values, double q);  // NaN for none
--- a/src/membership/membership_model.cpp
+++ b/src/membership/membership_model.cpp
@@ -90,7 +90,10 @@
 
 Model::Member& Model::Add(const std::string& name) {
   const auto [it, fresh] = members_.try_emplace(name);
-  if (fresh) by_name_.emplace(it->first, &it->second);
+  if (fresh) {
+    by_name_.emplace(it->first, &it->second);
+    it->second.settled = settled_view_.contains(name);
+  }
   return it->second;
 }
 
@@ -106,8 +109,10 @@
   if (m.live()) {
     m.live_at = live_.size();
     live_.push_back(&m);
+    settled_live_ += m.settled ? 1 : 0;
     return;
   }
+  settled_live_ -= m.settled ? 1 : 0;
   live_.back()->live_at = m.live_at;
   live_[m.live_at] = live_.back();
   live_.pop_back();
@@ -168,11 +173,11 @@
   std::size_t room = options_.datagram - kMessageHead - SizeOf(self_) - message.cluster.size() -
                      message.target.size() - message.target_address.size();
   const bool vouches = schema >= 2 && options_.speak >= 2 && options_.vouches;
-  const auto put = [&](News news) {
+  const auto put = [&](const News& news) {
     const std::size_t n = SizeOf(news);
     if (n > room) return false;
     room -= n;
-    message.news.push_back(std::move(news));
+    message.news.push_back(news);
     return true;
   };
   if (const Member* m = Get(about); m != nullptr) {
@@ -184,51 +189,22 @@
         News news{News::Kind::kBallot, {}, b, now - b.at};
         news.record.name = m->record.name;
         news.record.incarnation = m->record.incarnation;
-        put(std::move(news));
+        put(news);
         break;
       }
     }
   }
-  if (!news_.empty()) {
-    std::vector<std::pair<std::string_view, Item*>> by_need;
-    by_need.reserve(news_.size());
-    for (auto& [key, item] : news_) by_need.emplace_back(key, &item);
-    const std::size_t most = std::min<std::size_t>(by_need.size(), 48);
-    std::partial_sort(by_need.begin(), by_need.begin() + static_cast<std::ptrdiff_t>(most), by_need.end(),
-                      [](const auto& a, const auto& b) {
-                        return a.second->sent != b.second->sent ? a.second->sent < b.second->sent
-                                                                : a.second->order > b.second->order;
-                      });
-    const int enough =
-        kSpread * (1 + static_cast<int>(std::ceil(std::log2(static_cast<double>(Live().size() + 2)))));
-    std::vector<std::string> spent;
-    for (std::size_t i = 0; i < most; ++i) {
-      Item& item = *by_need[i].second;
-      if (item.news.kind == News::Kind::kBallot) {
-        if (item.news.ballot.vouch && !vouches) continue;
-        item.news.age = std::clamp<Time>(now - item.at, 0, kMostAge);
-      }
-      if (!put(item.news)) continue;
-      if (++item.sent >= enough) spent.emplace_back(by_need[i].first);
-    }
-    for (const std::string& key : spent) news_.erase(key);
-  }
+  const int enough =
+      kSpread * (1 + static_cast<int>(std::ceil(std::log2(static_cast<double>(Live().size() + 2)))));
+  news_.Tell(now, enough, [&](const News& news) {
+    return (news.kind != News::Kind::kBallot || !news.ballot.vouch || vouches) && put(news);
+  });
   out.sends.push_back({to, std::move(message)});
 }
 
 void Model::Spread(Time now, News news) {
-  const bool ballot = news.kind == News::Kind::kBallot;
-  const std::string key = ballot ? "b" + news.record.name + "\n" + news.ballot.by : "r" + news.record.name;
-  const auto it = news_.find(key);
-  if (it == news_.end() && news_.size() >= kMostNews) {
-    const auto oldest = std::max_element(news_.begin(), news_.end(), [](const auto& a, const auto& b) {
-      return a.second.sent != b.second.sent ? a.second.sent < b.second.sent : a.second.order > b.second.order;
-    });
-    news_.erase(oldest);
-    ++dropped_;
-  }
-  const Time at = ballot ? news.ballot.at : now;
-  news_[key] = {std::move(news), at, 0, ++orders_};
+  const Time at = news.kind == News::Kind::kBallot ? news.ballot.at : now;
+  if (!news_.Put(std::move(news), at)) ++dropped_;
 }
 
 void Model::SpreadRecord(Time now, const Record& record) {
@@ -402,21 +378,23 @@
   }
   if (news.ballot.by == self_.name) return;
   Member* m = Get(name);
+  if (m == nullptr || (news.ballot.vouch && !options_.vouches)) return;
+  // Most of what comes was heard before: that is seen without a look at who said it.
+  const auto known = std::find_if(m->ballots.begin(), m->ballots.end(),
+                                  [&](const Ballot& b) { return b.by == news.ballot.by; });
+  const bool of_now = m->live() && news.record.incarnation == m->record.incarnation;
+  if (of_now && known != m->ballots.end() && known->seq >= news.ballot.seq) return;
   const Member* speaker = Get(news.ballot.by);
-  if (m == nullptr || speaker == nullptr || !speaker->live() || (news.ballot.vouch && !options_.vouches))
-    return;
+  if (speaker == nullptr || !speaker->live()) return;
   // One of whom others say that they can't reach it, and who was never reached from here either: they may
   // lack this node's word for as long as they speak of it.
   if (!m->live() && !m->proven && !m->gone() && !news.ballot.vouch) m->spoken_at = now;
-  if (!m->live() || news.record.incarnation != m->record.incarnation) return;
+  if (!of_now) return;
   const Time age = std::clamp<Time>(news.age, 0, kMostAge);
   Ballot ballot = news.ballot;
   ballot.at = now - age;
-  const auto it =
-      std::find_if(m->ballots.begin(), m->ballots.end(), [&](const Ballot& b) { return b.by == ballot.by; });
-  if (it != m->ballots.end()) {
-    if (it->seq >= ballot.seq) return;
-    *it = ballot;
+  if (known != m->ballots.end()) {
+    *known = ballot;
   } else {
     if (m->ballots.size() >= kMostBallots) return;
     m->ballots.push_back(ballot);
@@ -478,8 +456,10 @@
   // What a majority is counted of grows with those that come while all is well, and with those that were
   // removed and are back. Others count once the view has settled with them: a cut-off side must not grow into
   // a majority.
-  if (!settled_view_.empty() && (back || (!in_doubt_ && suspects_.empty())))
+  if (!settled_view_.empty() && (back || (!in_doubt_ && suspects_.empty()))) {
     settled_view_.insert(m.record.name);
+    m.settled = true;  // it is not listed as live yet, and counted there
+  }
   unproven_.erase(m.record.name);
   List(m);
   Changed(now);
@@ -515,6 +495,12 @@
   return all;
 }
 
+bool Model::Vouched(const Member& m, Time now) const {
+  return options_.vouches && std::any_of(m.ballots.begin(), m.ballots.end(), [&](const Ballot& b) {
+           return b.vouch && now - b.at <= VouchLasts();
+         });
+}
+
 std::vector<std::string> Model::Vouchers(const Member& m, Time now) const {
   std::vector<std::string> all;
   if (!options_.vouches) return all;
@@ -653,7 +639,7 @@
     m.suspect_since += span;
     for (Ballot& b : m.ballots) b.at += span;
   }
-  for (auto& [name, item] : news_) item.at += span;
+  news_.Shift(span);
   last_reached_ += span;
   changed_at_ += span;
   hold_until_ = now + options_.period;
@@ -679,12 +665,13 @@
     if (now - refused_at_ < Periods(30)) return;
     refused_ = joined_ = false;  // once more: the other may be gone
     live_.clear();
+    settled_live_ = 0;
     by_name_.clear();
     members_.clear();
     suspects_.clear();
     unproven_.clear();
     probes_.clear();
-    news_.clear();
+    news_.Clear();
     Changed(now);
     next_exchange_ = now;
   }
@@ -845,19 +832,26 @@
 void Model::RunSuspects(Time now, Actions& out) {
   if (suspects_.empty()) return;
   const Time waits = SuspicionTime();
-  std::vector<std::string> names(suspects_.begin(), suspects_.end());
+  struct Suspect {
+    Member* member;
+    std::vector<std::string> accusers;
+  };
+  std::vector<Suspect> all;
+  all.reserve(suspects_.size());
   std::size_t ripe = 0;
-  for (const std::string& name : names) {
-    const Member& m = *Get(name);
-    if (Accusers(m, now).size() >= Needed(m)) ++ripe;
+  for (const std::string& name : suspects_) {
+    Member& m = *Get(name);
+    all.push_back({&m, Accusers(m, now)});
+    if (all.back().accusers.size() >= Needed(m)) ++ripe;
   }
   const bool mass = options_.majority && ripe >= 3 &&
                     static_cast<double>(ripe) >= kMassShare * static_cast<double>(settled_view_.size());
-  for (const std::string& name : names) {
-    Member& m = *Get(name);
-    std::vector<std::string> accusers = Accusers(m, now);
+  bool fewer = false;  // somebody went just now, who may have accused others
+  for (Suspect& suspect : all) {
+    Member& m = *suspect.member;
+    std::vector<std::string> accusers = fewer ? Accusers(m, now) : std::move(suspect.accusers);
     if (accusers.empty()) {  // all took it back, or it was long ago
-      suspects_.erase(name);
+      suspects_.erase(m.record.name);
       m.suspect_since = 0;
       m.since = now;
       m.ballots.clear();
@@ -869,12 +863,13 @@
     }
     const bool leaves = m.record.state == State::kLeaving;
     const bool over = now - m.suspect_since >= (mass || leaves ? 2 * waits : waits);
-    const bool agreed = accusers.size() >= Needed(m) && Vouchers(m, now).empty();
+    const bool agreed = accusers.size() >= Needed(m) && !Vouched(m, now);
     // It said so itself, so that no majority is asked; but it may only be slow, and nothing hangs on haste.
     if (leaves && over && agreed) {
       Record left = m.record;
       left.state = State::kLeft;
       SetGone(now, m, left, self_.name, out);
+      fewer = true;
       continue;
     }
     // Who is reached is known late where each is probed once in many periods: it is looked at before a death.
@@ -888,6 +883,7 @@
       if (accusers.size() > kMostAccusers) accusers.resize(kMostAccusers);
       dead.accusers = std::move(accusers);
       SetGone(now, m, dead, self_.name, out);
+      fewer = true;
       continue;
     }
     const auto own =
@@ -928,11 +924,8 @@
     if (m != nullptr && m->live() && m->round_trip >= census_at_ - options_.period) ++reached;
   }
   if (census_whole_) return 2 * (1 + reached) > static_cast<double>(n);
-  double sound = 0;
-  for (const std::string& name : settled_view_) {
-    const Member* m = Get(name);
-    if (m != nullptr && m->live() && !suspects_.contains(name)) ++sound;
-  }
+  const double sound =
+      static_cast<double>(settled_live_ - SuspectsOfView([](const Member&) { return true; }));
   return 2 * (1 + sound * reached / of) > kCensusMargin * static_cast<double>(n);
 }
 
@@ -991,18 +984,8 @@
     Forget(now);
   }
   // How many of the last settled view can be reached from this side.
-  std::size_t reach = reach_;
-  const bool count = !suspects_.empty() || reach_of_ != view_version_;
-  reach_of_ = suspects_.empty() ? view_version_ : 0;
-  if (count) reach = 0;
-  for (const std::string& name : settled_view_) {
-    if (!count) break;
-    const Member* m = name == self_.name ? nullptr : Get(name);
-    if (name == self_.name ||
-        (m != nullptr && m->live() && (!suspects_.contains(name) || !Vouchers(*m, now).empty())))
-      ++reach;
-  }
-  reach_ = reach;
+  const std::size_t reach =
+      1 + settled_live_ - SuspectsOfView([&](const Member& m) { return !Vouched(m, now); });
   const std::size_t n = settled_view_.size();
   const bool lonely = n >= 2 && now - last_reached_ > Doubled(Periods(kLonely));
   const bool alone = joined_ && Live().empty() && !options_.seeds.empty();
@@ -1021,8 +1004,11 @@
     settled_since_ = now;
     settled_view_.clear();
     settled_view_.insert(self_.name);
-    for (const Member* m : Live()) settled_view_.insert(m->record.name);
-    reach_of_ = 0;
+    for (auto& [name, m] : members_) {
+      m.settled = m.live();
+      if (m.settled) settled_view_.insert(name);
+    }
+    settled_live_ = Live().size();
     Tell(out, now, "view-settled", self_.name, "", settled_view_.size());
   }
 }
--- a/src/membership/membership_model.h
+++ b/src/membership/membership_model.h
@@ -9,6 +9,7 @@
 // (docs/membership.md).
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -20,6 +21,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "membership/news_model.h"
 #include "membership/record_model.h"
 
 namespace ryeglade::membership {
@@ -146,6 +148,7 @@
   struct Member {
     Record record;
     bool proven = false;         // this node has reached it there and back since it came
+    bool settled = false;        // its name is in settled_view_
     std::optional<Record> back;  // of one that is gone: it is said to have come back, which is to be proven
     Time first = 0, since = 0, round_trip = 0, suspect_since = 0, gone_at = 0, next_try = 0;
     Time spoken_at = 0;  // others said that they could not reach it, while it was not proven here
@@ -173,15 +176,8 @@
     Time nack_at = 0, ends = 0;
     bool nacked = false;
   };
-  struct Item {
-    News news;
-    Time at = 0;
-    int sent = 0;
-    std::uint64_t order = 0;
-  };
 
-  static constexpr std::size_t kMostProbes = 64, kMostRelays = 64, kMostNews = 512, kMostBallots = 16,
-                               kMostUnproven = 256;
+  static constexpr std::size_t kMostProbes = 64, kMostRelays = 64, kMostBallots = 16, kMostUnproven = 256;
 
   Member* Get(std::string_view name);
   const Member* Get(std::string_view name) const { return const_cast<Model*>(this)->Get(name); }
@@ -220,6 +216,7 @@
   void Cast(Time now, Member& m, bool vouch);
   bool Observes(const Member& m) const;
   std::vector<std::string> Accusers(const Member& m, Time now) const;
+  bool Vouched(const Member& m, Time now) const;
   std::vector<std::string> Vouchers(const Member& m, Time now) const;
   Standing StandingOf(const Member& m) const;
 
@@ -231,6 +228,14 @@
   void RunNewcomers(Time now, Actions& out);
   void RunSuspects(Time now, Actions& out);
   bool Census(Time now, Time since, Actions& out);
+  template <typename Which>
+  std::size_t SuspectsOfView(const Which& which) const {  // live and in the settled view
+    return static_cast<std::size_t>(
+        std::count_if(suspects_.begin(), suspects_.end(), [&](const std::string& name) {
+          const Member* m = Get(name);
+          return m != nullptr && m->settled && m->live() && which(*m);
+        }));
+  }
   void RunGossip(Time now, Actions& out);
   void RunJoin(Time now, Actions& out);
   void RunView(Time now, Actions& out);
@@ -250,15 +255,14 @@
   std::vector<std::string> round_;                         // whom to probe in this round, from the back
   std::vector<Probe> probes_;
   std::vector<Relay> relays_;
-  std::map<std::string, Item> news_;
+  NewsQueue news_;
   std::set<std::string> suspects_, unproven_;
   std::set<std::string> settled_view_;  // names, this node among them; empty: never settled
   std::vector<std::string> census_;     // whom this node looked at before a death
   Time census_at_ = 0, next_forget_ = 0;
-  std::uint64_t reach_of_ = 0;  // the view's version that reach_ was counted for; 0: none
-  std::size_t reach_ = 0;
+  std::size_t settled_live_ = 0;  // of the settled view, without this node: those that are live
   bool census_whole_ = false;
-  std::uint64_t orders_ = 0, view_version_ = 1, last_ballot_ = 0, dropped_ = 0;
+  std::uint64_t view_version_ = 1, last_ballot_ = 0, dropped_ = 0;
   Time last_tick_ = 0, next_probe_ = 0, next_gossip_ = 0, next_exchange_ = 0, next_view_ = 0, hold_until_ = 0;
   Time last_reached_ = 0, changed_at_ = 0, settled_since_ = 0, refused_at_ = 0, conflict_told_ = 0,
        began_ = 0;
--- /dev/null
+++ b/src/membership/news_model.cpp
@@ -0,0 +1,75 @@
+#include "membership/news_model.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace ryeglade::membership {
+namespace {
+
+std::uint64_t Hash(const std::string& text, std::uint64_t seed) {
+  return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+std::uint64_t KeyOf(const News& news) {
+  return Hash(news.record.name, news.kind == News::Kind::kBallot ? Hash(news.ballot.by, 1) : 0);
+}
+
+bool SameMatter(const News& a, const News& b) {
+  return a.kind == b.kind && a.record.name == b.record.name &&
+         (a.kind != News::Kind::kBallot || a.ballot.by == b.ballot.by);
+}
+
+}  // namespace
+
+bool NewsQueue::Put(News news, Time at) {
+  const std::uint64_t key = KeyOf(news);
+  for (std::size_t i = 0; i < slots_.size(); ++i) {
+    if (slots_[i].key != key || !SameMatter(items_[i].news, news)) continue;
+    slots_[i] = {key, ++puts_, 0};
+    items_[i] = {std::move(news), at};
+    return true;
+  }
+  const bool full = slots_.size() >= kMost;
+  if (full) {
+    const auto most = std::max_element(slots_.begin(), slots_.end(), [](const Slot& a, const Slot& b) {
+      return a.sent != b.sent ? a.sent < b.sent : a.order > b.order;
+    });
+    Remove(static_cast<std::size_t>(most - slots_.begin()));
+  }
+  slots_.push_back({key, ++puts_, 0});
+  items_.push_back({std::move(news), at});
+  return !full;
+}
+
+std::size_t NewsQueue::Order() {
+  order_.clear();
+  for (std::size_t i = 0; i < slots_.size(); ++i) order_.push_back({slots_[i].sent, slots_[i].order, i});
+  const std::size_t n = std::min(order_.size(), kAtATime);
+  std::partial_sort(
+      order_.begin(), order_.begin() + static_cast<std::ptrdiff_t>(n), order_.end(),
+      [](const Place& a, const Place& b) { return a.sent != b.sent ? a.sent < b.sent : a.order > b.order; });
+  return n;
+}
+
+void NewsQueue::Remove(std::size_t i) {
+  if (i + 1 != slots_.size()) {
+    slots_[i] = slots_.back();
+    items_[i] = std::move(items_.back());
+  }
+  slots_.pop_back();
+  items_.pop_back();
+}
+
+void NewsQueue::Shift(Time span) {
+  for (Item& item : items_) item.at += span;
+}
+
+void NewsQueue::Clear() {
+  slots_.clear();
+  items_.clear();
+}
+
+}  // namespace ryeglade::membership
--- a/tests/membership_parts_test.cpp
+++ b/tests/membership_parts_test.cpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "membership/news_model.h"
 #include "membership/tier_policy.h"
 #include "membership/wire_model.h"
 #include "settings/edge_settings.h"
@@ -118,6 +119,72 @@
   EXPECT_EQ(Decode(Encode(m), &why)->from.accusers.size(), 1U);
 }
 
+News AboutOf(const std::string& name, std::uint64_t incarnation, const std::string& accuser = "") {
+  News news;
+  news.kind = accuser.empty() ? News::Kind::kRecord : News::Kind::kBallot;
+  news.record.name = name;
+  news.record.incarnation = incarnation;
+  news.ballot.by = accuser;
+  return news;
+}
+
+// What it tells, one word a piece, where `most` fit.
+std::vector<std::string> Told(NewsQueue& queue, std::size_t most, Time now = 0, int enough = 100) {
+  std::vector<std::string> told;
+  queue.Tell(now, enough, [&](const News& n) {
+    if (told.size() == most) return false;
+    told.push_back(n.record.name + std::to_string(n.record.incarnation) + n.ballot.by);
+    return true;
+  });
+  return told;
+}
+
+TEST(NewsQueue, TellsWhatWasToldLeastAndOfThatTheNewestAndForgetsWhatWasToldEnough) {
+  using Words = std::vector<std::string>;
+  NewsQueue queue;
+  queue.Put(AboutOf("a", 1), 0);
+  queue.Put(AboutOf("b", 1), 0);
+  queue.Put(AboutOf("a", 1, "x"), 0);  // another matter than a's record
+  EXPECT_EQ(Told(queue, 2), (Words{"a1x", "b1"}));
+  EXPECT_EQ(Told(queue, 2), (Words{"a1", "a1x"}));
+  queue.Put(AboutOf("a", 2), 0);  // in the place of the older one, told to nobody yet
+  EXPECT_EQ(queue.size(), 3U);
+  EXPECT_EQ(Told(queue, 9), (Words{"a2", "b1", "a1x"}));
+  EXPECT_EQ(Told(queue, 1, 0, 2), (Words{"a2"}));  // twice: it goes
+  EXPECT_EQ(Told(queue, 9, 0, 3), (Words{"b1", "a1x"}));
+  EXPECT_TRUE(queue.empty());
+}
+
+TEST(NewsQueue, ABallotsAgeGoesByItsOwnTimeAndNotByThePauseOfTheNode) {
+  NewsQueue queue;
+  queue.Put(AboutOf("a", 1, "x"), 1'000);
+  Time age = -1;
+  const auto look = [&](Time now) {
+    queue.Tell(now, 100, [&](const News& n) {
+      age = n.age;
+      return true;
+    });
+    return age;
+  };
+  EXPECT_EQ(look(5'000), 4'000);
+  queue.Shift(3'000);
+  EXPECT_EQ(look(9'000), 5'000);
+  EXPECT_EQ(look(0), 0);  // from the future
+  EXPECT_EQ(look(10 * kMostAge), kMostAge);
+}
+
+TEST(NewsQueue, MakesRoomByWhatWasToldMost) {
+  NewsQueue queue;
+  for (std::size_t i = 0; i < NewsQueue::kMost; ++i)
+    ASSERT_TRUE(queue.Put(AboutOf("n" + std::to_string(i), 1), 0));
+  ASSERT_EQ(Told(queue, 1).front(), "n511" + std::to_string(1));
+  EXPECT_FALSE(queue.Put(AboutOf("late", 1), 0));
+  EXPECT_EQ(queue.size(), NewsQueue::kMost);
+  for (int i = 0; i < 40; ++i) {
+    for (const std::string& told : Told(queue, NewsQueue::kAtATime)) EXPECT_NE(told, "n5111");
+  }
+}
+
 TEST(TierPolicy, MoreAtOnceFewerOnlyFromASettledView) {
   TierPolicy p(4, 30'000'000);
   TierFacts f;
