--- a/lab/cluster/command.cpp
+++ b/lab/cluster/command.cpp
@@ -76,6 +76,9 @@
       ->add_option("--warm-up", warm_up_,
                    "periods to join in, instead of the scenario's own; only with --emulate")
       ->check(CLI::Range(1.0, 1e4));
+  cluster_
+      ->add_option("--loss", loss_, "share of every loss, instead of the scenario's own; only with --emulate")
+      ->check(CLI::Range(0.01, 0.99));
   cluster_->add_option("--workers", workers_, "threads; 0: as many as there are cores")
       ->check(CLI::Range(0, 256));
   cluster_->add_flag("--explore", explore_,
@@ -203,6 +206,7 @@
     if (nodes_ > 0) scenario = ParseScenario(file, With(scenario.text, "nodes", std::to_string(nodes_)));
     if (warm_up_ > 0)
       scenario = ParseScenario(file, With(scenario.text, "warm_up", fmt::format("{}", warm_up_)));
+    if (loss_ > 0) scenario = ParseScenario(file, With(scenario.text, "loss", fmt::format("{}", loss_)));
     for (const std::string& detector : detectors_) {
       std::vector<EmulatedResult> results(static_cast<std::size_t>(seeds_));
       std::vector<Seen> said;
--- a/lab/cluster/command.h
+++ b/lab/cluster/command.h
@@ -32,7 +32,7 @@
   int seeds_ = 1, workers_ = 0, depth_ = 2;
   std::string variant_;
   std::uint64_t nodes_ = 0;
-  double warm_up_ = 0;
+  double warm_up_ = 0, loss_ = 0;
 };
 
 }  // namespace ryeglade::cluster
--- a/lab/cluster/scenario.cpp
+++ b/lab/cluster/scenario.cpp
@@ -95,7 +95,7 @@
   f.both = s.Flag("both", false);
   const double share = s.Number("share", 0, 1, 0.1);
   if (what == "cut") f.link.cut = true;
-  if (what == "loss") f.link.drop = share;
+  if (what == "loss") f.link.drop = scenario.loss > 0 ? scenario.loss : share;
   if (what == "duplicate") f.link.duplicate = share;
   if (what == "corrupt") f.link.corrupt = share;
   if (what == "reorder") {
@@ -168,6 +168,7 @@
   s.zones = top.Whole("zones", 1, 16, s.zones);
   s.length = top.Number("length", 1, 1e6, s.length);
   s.warm_up = top.Number("warm_up", 1, 1e4, s.warm_up);
+  s.loss = top.Number("loss", 0, 0.99, s.loss);
   s.period = top.Span("period", 20'000, 60'000'000, s.period);
   s.seed = top.Whole("seed", 0, 1'000'000'000, 1);
   s.rate = top.PerSecond("rate", 0, 10'000, 0);
--- a/lab/cluster/scenario.h
+++ b/lab/cluster/scenario.h
@@ -60,6 +60,7 @@
   std::string name, title, text;
   std::size_t nodes = 5, seeds = 2, zones = 1;
   double length = 60;     // periods
+  double loss = 0;        // above 0: the share of every loss, instead of its own
   double warm_up = 25;    // periods before the first fault counts from: `at` is after them
   Time period = 200'000;  // microseconds, with real processes
   std::uint64_t seed = 1;
