--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -17,6 +17,7 @@
 #include <limits>
 #include <queue>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 
@@ -237,6 +238,10 @@
   double Unread(const RequestArrived& i, const Replica& x, bool home, bool session_home, bool hot) const;
   void Keep(const RequestArrived& i, ReplicaId at);
   void DoneReading(Attempt& a);
+  static Attempt* Out(Request& r, int attempt) {
+    const auto n = static_cast<std::size_t>(attempt);
+    return attempt >= 0 && n < r.attempts.size() && r.attempts[n].out ? &r.attempts[n] : nullptr;
+  }
   void Recap();
   bool HasRoom(const Replica& x) const;
   bool Rests(const Replica& x) const { return std::max(x.blocked_until, x.told.rests_until) > now_; }
@@ -701,14 +706,11 @@
                         i.session != 0 ? Rendezvous(i.session, x->entry.id, speed) : 0, false, false, 0});
     CountReport(*x);
   }
-  auto by = [&](auto member) {
-    return [member, by_zone](const Option& a, const Option& b) {
-      if (by_zone && a.replica->entry.zone != b.replica->entry.zone) {
-        return a.replica->entry.zone < b.replica->entry.zone;
-      }
-      if (a.*member != b.*member) return a.*member > b.*member;
-      return a.replica->entry.id < b.replica->entry.id;
+  const auto by = [by_zone](auto member) {
+    const auto key = [=](const Option& o) {
+      return std::tuple(by_zone ? o.replica->entry.zone : 0, -(o.*member), o.replica->entry.id);
     };
+    return [key](const Option& a, const Option& b) { return key(a) < key(b); };
   };
   if (i.prefix != 0) {
     std::sort(options_.begin(), options_.end(), by(&Option::prefix_rank));
@@ -760,7 +762,7 @@
       ring_.emplace_back(Mix(Mix(x->entry.id) + static_cast<std::uint64_t>(k)), x.get());
   }
   std::sort(ring_.begin(), ring_.end(), [](const auto& a, const auto& b) {
-    return a.first != b.first ? a.first < b.first : a.second->entry.id < b.second->entry.id;
+    return std::pair(a.first, a.second->entry.id) < std::pair(b.first, b.second->entry.id);
   });
 }
 
@@ -794,8 +796,8 @@
     if (i.session != 0 && !options_.empty()) {
       for (Option& o : options_) o.session_order = Mix(i.session ^ Mix(o.replica->entry.id));
       std::sort(options_.begin(), options_.end(), [](const Option& a, const Option& b) {
-        return a.session_order != b.session_order ? a.session_order > b.session_order
-                                                  : a.replica->entry.id < b.replica->entry.id;
+        return std::pair(~a.session_order, a.replica->entry.id) <
+               std::pair(~b.session_order, b.replica->entry.id);
       });
       const std::size_t mine = Homes(session_share, ready_.size(), options_.size());
       for (std::size_t k = 0; k < mine; ++k) options_[k].session_home = true;
@@ -1018,19 +1020,18 @@
 
 void Router::Impl::On(const AnswerStarted& e) {
   const auto it = requests_.find(e.id);
-  if (it == requests_.end()) return;
+  Attempt* const a = it == requests_.end() ? nullptr : Out(it->second, e.attempt);
+  if (a == nullptr || it->second.started || it->second.done) return;
   Request& r = it->second;
-  const std::size_t n = static_cast<std::size_t>(e.attempt);
-  if (e.attempt < 0 || n >= r.attempts.size() || !r.attempts[n].out || r.started || r.done) return;
   r.started = true;
-  DoneReading(r.attempts[n]);
+  DoneReading(*a);
   r.first_token = e.elapsed;
   const double aim = static_cast<double>(r.aim_at - r.arrived);
   const double t = static_cast<double>(e.elapsed);
   k_.wait += kWaitMemory * (std::min(1.0, t / std::max(1.0, aim)) - k_.wait);
   LearnTime(t > kLateAt * aim, t < 0.5 * kLateAt * aim);
   const std::uint32_t bucket = BucketKey(r.info, 2);
-  if (Replica* x = Get(r.attempts[n].replica)) {
+  if (Replica* x = Get(a->replica)) {
     x->failures = 0, x->waits_since = now_;
     const auto seen = k_.first_token.find(bucket);
     if (seen != k_.first_token.end() && seen->second.n > kParentWeight) {
@@ -1059,11 +1060,10 @@
 
 void Router::Impl::On(const AttemptEnded& e) {
   const auto it = requests_.find(e.id);
-  if (it == requests_.end()) return;
+  Attempt* const out = it == requests_.end() ? nullptr : Out(it->second, e.attempt);
+  if (out == nullptr) return;
   Request& r = it->second;
-  const std::size_t n = static_cast<std::size_t>(e.attempt);
-  if (e.attempt < 0 || n >= r.attempts.size() || !r.attempts[n].out) return;
-  Attempt& a = r.attempts[n];
+  Attempt& a = *out;
   a.out = false;
   DoneReading(a);
   a.ran = !ProvesNotRun(e.outcome);
@@ -1073,21 +1073,11 @@
   if (x != nullptr) {
     --x->in_flight;
     TakeReport(*x, e.load);
-    switch (e.outcome) {
-      case Outcome::kServed:
-        x->failures = 0;
-        LearnServed(r, x, e.elapsed);
-        break;
-      case Outcome::kError:
-      case Outcome::kFull:
-      case Outcome::kTimeout:
-      case Outcome::kConnectFailed:
-      case Outcome::kReset:
-        LearnFailure(*x, e.outcome);
-        break;
-      case Outcome::kCancelled:
-      case Outcome::kNotSent:
-        break;
+    if (e.outcome == Outcome::kServed) {
+      x->failures = 0;
+      LearnServed(r, x, e.elapsed);
+    } else if (e.outcome != Outcome::kCancelled && e.outcome != Outcome::kNotSent) {
+      LearnFailure(*x, e.outcome);
     }
     if (!x->listed && x->in_flight == 0) {
       beside_ -= x->beside;
