Give membership one hash of names, one word for gone, and ask a member if it is settled

Cause: reading the change again, NewsQueue had its own copy of the model's hash, 'dead or left' was written out in six places, and Census looked each live member up in the settled view by name though the member carries that since.

Change: Hash and Gone stand in record_model, used by both; Census reads Member::settled. No decision changes.

--- a/src/membership/membership_model.cpp
+++ b/src/membership/membership_model.cpp
@@ -1,7 +1,5 @@
 #include "membership/membership_model.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -33,10 +31,6 @@
 constexpr int kSpread = 3;             // times log2 of the members: how often a piece of news is sent
 constexpr Time kPauseLeast = 300'000;  // a tick later than this by so much is a pause
 
-std::uint64_t Hash(std::string_view text, std::uint64_t seed = 0) {
-  return XXH3_64bits_withSeed(text.data(), text.size(), seed);
-}
-
 }  // namespace
 
 const char* Name(Standing standing) {
@@ -240,14 +234,14 @@
   if (record.uid == self_.uid || record.address == self_.address) {
     // Said of this process or of an earlier one of this node: what is above must not stand.
     const bool mine = record.uid == self_.uid;
-    const bool gone = record.state == State::kDead || record.state == State::kLeft;
+    const bool gone = Gone(record);
     if (record.incarnation > self_.incarnation ||
         (record.incarnation == self_.incarnation && ((gone && self_.state == State::kAlive) || !mine)))
       Raise(now, record.incarnation, out);
     return;
   }
   // Another node holds the name. One that has settled holds it rightly; of two that begin, the older.
-  if (record.state == State::kDead || record.state == State::kLeft) return;
+  if (Gone(record)) return;
   if (now - conflict_told_ >= Periods(10) || conflict_told_ == 0) {
     conflict_told_ = now;
     Tell(out, now, "name-conflict", self_.name, record.address.empty() ? by : record.address,
@@ -279,7 +273,7 @@
 
 void Model::Learn(Time now, const Record& record, const std::string& by, Actions& out) {
   if (record.name == self_.name) return LearnOfSelf(now, record, by, out);
-  const bool gone = record.state == State::kDead || record.state == State::kLeft;
+  const bool gone = Gone(record);
   Member* m = Get(record.name);
   if (m == nullptr) {
     if (members_.size() >= options_.most_members) Forget(now);
@@ -449,7 +443,7 @@
     m.record = *m.back;
     m.back.reset();
   }
-  if (m.record.state == State::kDead || m.record.state == State::kLeft) return;
+  if (Gone(m.record)) return;
   m.proven = true;
   m.since = now;
   m.tries = 0;
@@ -904,8 +898,7 @@
     census_.clear();
     std::vector<std::string> names;
     for (const Member* m : Live()) {
-      if (!suspects_.contains(m->record.name) && settled_view_.contains(m->record.name))
-        names.push_back(m->record.name);
+      if (m->settled && !suspects_.contains(m->record.name)) names.push_back(m->record.name);
     }
     while (census_.size() < kCensus && !names.empty()) {
       const std::size_t i = draw_() % names.size();
--- a/src/membership/membership_model.h
+++ b/src/membership/membership_model.h
@@ -158,7 +158,7 @@
     std::vector<HistoryLine> history;
     std::size_t live_at = kNowhere;  // its place in live_
     bool live() const { return proven && (record.state == State::kAlive || record.state == State::kLeaving); }
-    bool gone() const { return record.state == State::kDead || record.state == State::kLeft; }
+    bool gone() const { return Gone(record); }
     const std::string& address() const { return back ? back->address : record.address; }
   };
   struct Probe {
--- a/src/membership/news_model.cpp
+++ b/src/membership/news_model.cpp
@@ -1,18 +1,11 @@
 #include "membership/news_model.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <string>
 #include <utility>
 
 namespace ryeglade::membership {
 namespace {
 
-std::uint64_t Hash(const std::string& text, std::uint64_t seed) {
-  return XXH3_64bits_withSeed(text.data(), text.size(), seed);
-}
-
 std::uint64_t KeyOf(const News& news, std::uint64_t about) {
   return news.kind == News::Kind::kBallot ? Hash(news.ballot.by, about) : about;
 }
@@ -48,7 +41,7 @@
 // Whoever knows the record passes over what was said of an earlier incarnation, or of one that is gone: told
 // on, it would only take the room of other words.
 void NewsQueue::Void(const Record& record, std::uint64_t about) {
-  const bool gone = record.state == State::kDead || record.state == State::kLeft;
+  const bool gone = Gone(record);
   for (std::size_t i = slots_.size(); i-- > 0;) {
     if (slots_[i].about != about) continue;
     const News& news = items_[i].news;
--- a/src/membership/record_model.cpp
+++ b/src/membership/record_model.cpp
@@ -1,5 +1,7 @@
 #include "membership/record_model.h"
 
+#include <xxhash.h>
+
 namespace ryeglade::membership {
 
 const char* Name(State state) {
@@ -21,6 +23,10 @@
   return a.incarnation != b.incarnation ? a.incarnation > b.incarnation : a.state > b.state;
 }
 
+std::uint64_t Hash(std::string_view text, std::uint64_t seed) {
+  return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
 std::size_t SizeOf(const Record& record) {
   std::size_t n = 32 + record.name.size() + record.address.size() + record.zone.size();
   for (const std::string& accuser : record.accusers) n += accuser.size() + 2;
--- a/src/membership/record_model.h
+++ b/src/membership/record_model.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "ryeglade/router.h"
@@ -85,6 +86,10 @@
 
 // An upper bound of what it takes in a message.
 std::size_t SizeOf(const Record& record);
+inline bool Gone(const Record& record) {
+  return record.state == State::kDead || record.state == State::kLeft;
+}
+std::uint64_t Hash(std::string_view text, std::uint64_t seed = 0);  // the same at every node
 std::size_t SizeOf(const News& news);
 inline constexpr std::size_t kMessageHead = 96;  // beside the sender's record and the texts
 
