Learn how slow a zone is, start wide in large tiers, and ask for the first list soon

Now the first call comes within 1 s, failed calls are repeated within 3 s (9 s before, over the 6 s after which a change counts as told), and a new process takes no client before its first list, a refused connection or 2.5 s. Where lists are pushed no watch was ever opened at all; Discovery now keeps one.

A node of many sees too few answers of each replica to learn that one by one, so answers now teach a zone's slowness too.

Reasons of refusals are logged (request-given-up).

--- a/include/ryeglade/learned.h
+++ b/include/ryeglade/learned.h
@@ -37,6 +37,20 @@
   }
 };
 
+// A mean whose samples fade with time.
+struct FadedAverage {
+  Faded sum;
+  Faded count;
+  void Add(std::int64_t now, std::int64_t memory, double x) {
+    sum.Add(now, memory, x);
+    count.Add(now, memory, 1);
+  }
+  // Shrunk towards 0 by `weight` samples.
+  double Shrunk(std::int64_t now, std::int64_t memory, double weight) const {
+    return sum.Now(now, memory) / (count.Now(now, memory) + weight);
+  }
+};
+
 struct LearnedReplica {
   double slow = 0;    // mean ln(observed / expected) of its own answers
   double slow_n = 0;  // how many answers that rests on, fading
@@ -86,6 +100,7 @@
   std::vector<Average> per_hint;                           // by class: runtime over hint
   std::vector<Average> bucket_error, hint_error;           // by class: squared ln of estimate over runtime
   std::vector<Average> kind_slow;
+  std::vector<FadedAverage> zone_slow;  // ln(observed / expected) by zone; not handed on, as it fades soon
   std::unordered_map<std::uint64_t, KeyUse> keys;
   Faded arrivals_slow, arrivals_fast;
   std::unordered_map<std::uint64_t, Kept> kept;  // by session or beginning, and replica
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -47,6 +47,7 @@
 constexpr Time kServeOn = 1'000'000;   // after SIGTERM, new requests keep coming for a while
 constexpr Time kAnswerBy = 3'300'000;  // SIGKILL comes no sooner than 3.7 s after SIGTERM
 constexpr Time kQuiet = 200'000;       // and the listener closes only once none has come for this long
+constexpr Time kFirstListWithin = 2'500'000;  // a new process waits so long for its first list from discovery
 constexpr Time kDrainTick = 50'000;
 constexpr unsigned kLookForHolds = 100;  // ms: what another process of this node is told counts here soon
 
@@ -159,7 +160,19 @@
 
   // The hand-over's side: see handover/succession_policy.h for when each comes.
   void Serve() override {
-    if (taking_ || !failed_.empty()) return;
+    if (taking_ || starting_ || !failed_.empty()) return;
+    starting_ = true;
+    if (!inherited_) discovery_.Known(core_.config->known);
+    if (!config_.settings.ask_for_list) discovery_.KeepWatch();
+    if (inherited_ || !config_.settings.ask_for_list) return TakeClients();
+    // The list known at the start may be old: no client is taken before discovery has told what has changed,
+    // cannot be reached, or has let this long pass.
+    discovery_.OnFirstAnswer([this] { deadlines_.Set(Now(), [this] { TakeClients(); }); });
+    deadlines_.Set(Now() + kFirstListWithin, [this] { TakeClients(); });
+  }
+
+  void TakeClients() {
+    if (taking_ || !failed_.empty() || drain_began_ != 0) return;
     try {
       const std::string listen = downstream_.Listen();
       if (openai_ != nullptr) {
@@ -174,7 +187,6 @@
     } catch (const std::runtime_error& e) {
       return Fail(e.what());
     }
-    if (!inherited_) discovery_.Known(core_.config->known);
   }
   void Inherit(handover::State state) override {
     const std::string& known = core_.config->known;
@@ -517,7 +529,8 @@
   EdgeSettings settings_;
   Config config_;  // as in force: a SIGHUP changes it
   Tally tally_;
-  bool taking_ = false;
+  bool starting_ = false;  // the list known at the start has been taken
+  bool taking_ = false;    // clients are
   uv_loop_t loop_{};
   Buffers buffers_;
   Deadlines deadlines_;
--- a/src/core/decisions.cpp
+++ b/src/core/decisions.cpp
@@ -3,6 +3,9 @@
 #include <utility>
 #include <variant>
 
+#include "base/log.h"
+#include "core/streams.h"
+
 namespace ryeglade {
 namespace {
 
@@ -13,10 +16,55 @@
 template <class... Ts>
 Overloaded(Ts...) -> Overloaded<Ts...>;
 
+const char* Name(policy::Why why) {
+  switch (why) {
+    case policy::Why::kNoPatience:
+      return "no-patience";
+    case policy::Why::kHeldTooLong:
+      return "held-too-long";
+    case policy::Why::kNoTimeLeft:
+      return "no-time-left";
+    case policy::Why::kAttemptsSpent:
+      return "attempts-spent";
+    case policy::Why::kMayHaveRun:
+      return "may-have-run";
+    case policy::Why::kRetriesSpent:
+      return "retries-spent";
+    case policy::Why::kStreamBroken:
+      return "stream-broken";
+    case policy::Why::kCount:
+      break;
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 Decisions::Decisions(Core* core)
-    : core_(core), start_(Now()), router_(core->config->settings, core->config->seed, start_) {}
+    : core_(core), start_(Now()), router_(core->config->settings, core->config->seed, start_) {
+  router_.Observe(this);
+}
+
+void Decisions::OnSend(const policy::SendNote& note) {
+  if (observer_ != nullptr) observer_->OnSend(note);
+}
+
+void Decisions::OnEnd(const policy::EndNote& note) {
+  const Stream* stream = core_->answers->Get(note.id);
+  Log(Level::kInfo, "request-given-up",
+      {{"id", stream != nullptr ? stream->request.call_id.c_str() : "-"},
+       {"why", Name(note.why)},
+       {"attempts", note.attempts},
+       {"held_ms", note.held / 1000},
+       {"queue", note.queue},
+       {"cap", note.cap_total},
+       {"in_flight", note.in_flight}});
+  if (observer_ != nullptr) observer_->OnEnd(note);
+}
+
+void Decisions::OnRest(const policy::RestNote& note) {
+  if (observer_ != nullptr) observer_->OnRest(note);
+}
 
 void Decisions::Tap(DecisionTap* tap) {
   taps_.push_back(tap);
--- a/src/core/decisions.h
+++ b/src/core/decisions.h
@@ -10,13 +10,14 @@
 
 namespace ryeglade {
 
-class Decisions : public EventPort {
+class Decisions : public EventPort, private policy::Observer {
  public:
   explicit Decisions(Core* core);
   void Post(policy::Event event) override;
   // Before the first event; none: nobody listens, at no cost.
   void Tap(DecisionTap* tap);
-  void Observe(policy::Observer* observer) { router_.Observe(observer); }
+  // Whoever else wants the decision module's reasons. Must be set before the first event; not owned.
+  void Observe(policy::Observer* observer) { observer_ = observer; }
   const policy::Router& router() const { return router_; }
   void Retune(const std::vector<policy::ClassSettings>& classes, int max_attempts) {
     router_.Retune(classes, max_attempts);
@@ -25,9 +26,15 @@
  private:
   void CarryOut(const policy::Action& action);
 
+  // Reasons: each refusal and failure is logged, and all are passed on to the observer, if there is one.
+  void OnSend(const policy::SendNote& note) override;
+  void OnEnd(const policy::EndNote& note) override;
+  void OnRest(const policy::RestNote& note) override;
+
   Core* core_;
   Time start_;
   std::vector<DecisionTap*> taps_;
+  policy::Observer* observer_ = nullptr;
   policy::Router router_;
   std::deque<policy::Event> events_;
   std::vector<policy::Action> actions_;
--- a/src/core/discovery.cpp
+++ b/src/core/discovery.cpp
@@ -22,6 +22,7 @@
 // told 6 s later whether they arrived or not, and asking anew takes its time too.
 constexpr Time kLineWithin = 2'800'000;
 constexpr Time kMoveAgain = 250'000;  // a move that failed is tried again after this, up to twice that
+constexpr Time kWatchAgain = 200'000;  // a kept watch is opened again after this, up to twice that
 constexpr std::size_t kMostText = std::size_t{8} * 1024 * 1024;
 
 }  // namespace
@@ -71,6 +72,15 @@
   strange_ ? Move() : Start(true);
 }
 
+void Discovery::KeepWatch() {
+  keep_watch_ = true;
+  Watch(true);
+}
+
+void Discovery::FirstAnswer() {
+  if (const auto heard = std::exchange(first_answer_, nullptr)) heard();
+}
+
 void Discovery::MoveTo(const std::string& address) {
   if (address == address_) return;
   address_ = address;
@@ -132,6 +142,13 @@
   }
   Dark(c_watch ? "watch" : "fetch", why);
   core_->events->Post(ReplicaList{ListScope::kFailed, 0, {}});
+  if (keep_watch_) {
+    core_->deadlines->Cancel(watch_again_);
+    watch_again_ = core_->deadlines->Set(Now() + kWatchAgain + Now() % kWatchAgain, [this] {
+      if (watch_ == 0) Watch(true);
+    });
+  }
+  if (std::string_view(why) == "connect") FirstAnswer();
 }
 
 void Discovery::Dark(const char* source, const char* why) {
@@ -235,6 +252,7 @@
   const std::uint64_t version = generation_;
   if (!Apply(list, full ? ListScope::kFull : ListScope::kDelta, single ? "fetch" : "watch")) return false;
   if (!current) generation_ = version;
+  FirstAnswer();
   return true;
 }
 
--- a/src/core/discovery.h
+++ b/src/core/discovery.h
@@ -4,6 +4,7 @@
 
 #include <http_parser.h>
 
+#include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -24,6 +25,11 @@
 
   void Known(const std::string& list);  // as the node last had it; it may be old
   void Watch(bool on) override;
+  // Where lists are pushed the decision module asks for none: the watch is opened here, and opened again soon
+  // whenever it ends, for as long as the node runs.
+  void KeepWatch();
+  // Called once, when a first list has come from discovery or discovery has refused the connection.
+  void OnFirstAnswer(std::function<void()> heard) { first_answer_ = std::move(heard); }
   void Fetch() override;
   // Another address from here on. The watch at the old one is kept until the new one has given a whole list:
   // versions of the one say nothing about versions of the other.
@@ -78,6 +84,7 @@
   bool Apply(const nlohmann::json& list, policy::ListScope scope, const char* source);
   static void Overlay(const Holds& holds, const std::string& name, policy::ReplicaEntry& e);
   void Dark(const char* source, const char* why);
+  void FirstAnswer();
   int IndexOf(const std::vector<std::string>& names, const nlohmann::json& entry, const char* key) const;
   static const http_parser_settings& Callbacks();
 
@@ -88,6 +95,9 @@
   Handle watch_ = 0, moving_ = 0;
   Handle old_ = 0;  // the watch at the address that is being left
   DeadlineId move_again_;
+  bool keep_watch_ = false;
+  DeadlineId watch_again_;
+  std::function<void()> first_answer_;
   std::uint64_t generation_ = 0;
   std::map<std::string, policy::ReplicaId> ids_;
   std::map<policy::ReplicaId, std::string> names_;
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -28,8 +28,9 @@
 constexpr double kMostParts = 1e6;     // a node's part of all is no less than one of so many
 constexpr double kMuchLess = 1.2;      // a part that falls by this factor
 constexpr double kStartInFlight = 16;  // guess of what a replica can have in flight before anything is known
+constexpr double kManyNodesStart = 4;  // times that guess, in a tier of more than kFewNodes nodes
 constexpr double kLeastInFlight = 2;   // caps never fall below this many for a replica over all nodes
-constexpr double kMostInFlight = 256;  // nor rise above this many
+constexpr double kMostInFlight = 256;  // nor rise above this many at one node, which may have most traffic
 constexpr double kRisePerRound =
     0.4;                              // caps in full use and in time rise by this share in a round of answers
 constexpr double kFirstRise = 0.9;    // and by this share until they have fallen once
@@ -58,6 +59,7 @@
 constexpr double kSwing = 2;  // standard deviations by which one of many nodes may pass its part of a cap
 constexpr double kKindWeight = 8;         // answers that a replica's kind is worth against its own
 constexpr Time kSlowMemory = 10'000'000;  // a replica's own answers fade this fast: load moves
+constexpr Time kZoneMemory = 5'000'000;   // and what a zone's answers tell of it as a whole
 constexpr double kKindMemory = 400;       // answers that a kind's average looks back on
 constexpr double kFailureSlow = 1.1;      // ln 3: a failed attempt makes a replica look this much slower
 constexpr double kSlowBound = 2.0;        // one answer counts as at most e^2 times slower or faster
@@ -99,6 +101,12 @@
 constexpr int kDrawn = 24;        // drawn besides: the best of so many is hardly worse than the best of all
 constexpr Time kRecapEvery = 10;  // microseconds for each replica, between two looks at all caps
 
+// Discovery. A change counts as told at the latest 6 s after discovery has it and can be reached, so calls
+// that fail are repeated well within that.
+constexpr Time kFirstAskWithin = 1'000'000;
+constexpr double kAskAgainFirst = 200'000;  // microseconds, doubled by each failure in a row
+constexpr double kAskAgainMost = 2'000'000;
+
 // The held queue.
 constexpr double kAgeing = 6.0;  // a held request overtakes ones this many times its wait longer
 
@@ -272,6 +280,7 @@
   void LearnFailure(Replica& x, Outcome o);
   double Slowness(const Replica& x) const;
   double KindSlowness(int kind) const;
+  double ZoneSlowness(int zone) const;
   double KeyShare(std::uint64_t key, bool hot_only) const;
   void CountKeys(const RequestArrived& e);
   std::uint32_t BucketKey(const RequestArrived& i, int level) const;
@@ -351,12 +360,16 @@
   if (settings_.classes.empty()) settings_.classes.emplace_back();
   settings_.nodes = std::max(1, settings_.nodes);
   parts_ = split_at_ = settings_.nodes;
-  k_.level = kStartInFlight / parts_;
+  // Traffic is spread unevenly over many nodes, so their parts of a cap are never all in use together.
+  const double start = settings_.nodes > kFewNodes ? kManyNodesStart * kStartInFlight : kStartInFlight;
+  k_.level = start / parts_;
   k_.retry_budget = kBudgetMost / 2;
   Fit();
-  // Nodes start together: calls in step would overrun discovery, so each waits a random part of its span.
+  // Nodes start together: calls in step would overrun discovery, so each waits a random part of a span. It is
+  // short: the list known at the start may be old, and what it lacks counts as told before long.
   if (settings_.ask_for_list) {
-    const Time span = settings_.ask_within > 0 ? settings_.ask_within * 4 / 10 : 4'000'000;
+    const Time span = settings_.ask_within > 0 ? std::min(kFirstAskWithin, settings_.ask_within * 4 / 10)
+                                               : kFirstAskWithin;
     SetAlarm(now + static_cast<Time>(Random() * static_cast<double>(span)), Wake::kAsk, 0);
   }
 }
@@ -381,8 +394,8 @@
     // changes meanwhile counts as told before long.
     subscribed_ = false;
     ++asks_failed_;
-    const double wait = std::min(0.2 * std::pow(2.0, std::min(asks_failed_, 5)), 6.0) * (0.5 + Random());
-    if (settings_.ask_for_list) SetAlarm(now_ + static_cast<Time>(wait * 1e6), Wake::kAsk, 0);
+    const double wait = std::min(kAskAgainFirst * std::exp2(std::min(asks_failed_, 5)), kAskAgainMost);
+    if (settings_.ask_for_list) SetAlarm(now_ + static_cast<Time>(wait * (0.5 + Random())), Wake::kAsk, 0);
     return;
   }
   if (e.scope != ListScope::kCached) asks_failed_ = 0;
@@ -897,6 +910,8 @@
   x.slow_at = now_;
   const std::size_t kind = static_cast<std::size_t>(x.entry.kind);
   if (kind < k_.kind_slow.size() && Warmth(x) >= 1) k_.kind_slow[kind].Add(sample, kKindMemory);
+  const std::size_t zone = static_cast<std::size_t>(x.entry.zone);
+  if (zone < k_.zone_slow.size()) k_.zone_slow[zone].Add(now_, kZoneMemory, sample);
 }
 
 double Router::Impl::KindSlowness(int kind) const {
@@ -904,10 +919,18 @@
   return k < k_.kind_slow.size() ? k_.kind_slow[k].Shrunk(0, kKindWeight) : 0;
 }
 
+// How slow the replicas of a zone answer now: where traffic is unequal a zone is overrun as a whole, and a
+// node of many sees too few answers of each replica to learn that one by one.
+double Router::Impl::ZoneSlowness(int zone) const {
+  const std::size_t z = static_cast<std::size_t>(zone);
+  return z < k_.zone_slow.size() ? k_.zone_slow[z].Shrunk(now_, kZoneMemory, kKindWeight) : 0;
+}
+
 double Router::Impl::Slowness(const Replica& x) const {
   const double n = x.slow_n * Fade(now_ - x.slow_at, kSlowMemory);
   const double m = x.told.slow_n * Fade(now_ - x.told_at, kSlowMemory);
-  return (n * x.slow + m * x.told.slow + kKindWeight * KindSlowness(x.entry.kind)) / (n + m + kKindWeight);
+  const double expected = KindSlowness(x.entry.kind) + ZoneSlowness(x.entry.zone);
+  return (n * x.slow + m * x.told.slow + kKindWeight * expected) / (n + m + kKindWeight);
 }
 
 // The level of all caps: up while first tokens come in time and caps are in use, down when many are late.
@@ -917,7 +940,7 @@
     if (late) Fall(kFall);
   } else if (in_good_time && k_.wait < kEasy && in_flight_ + beside_ >= kInUse * cap_total_) {
     k_.level = std::min(
-        kMostInFlight / parts_,
+        kMostInFlight,
         k_.level * (1 + (k_.fell_from > 0 && k_.level > kKnown * k_.fell_from ? kRisePerRound : kFirstRise) /
                             std::max(1.0, cap_total_)));
     Stale();
@@ -1258,6 +1281,7 @@
   const std::size_t n = settings_.classes.size();
   k_.per_hint.resize(n), k_.bucket_error.resize(n), k_.hint_error.resize(n), k_.pace_by_class.resize(n);
   k_.kind_slow.resize(static_cast<std::size_t>(std::max(1, settings_.kinds)));
+  k_.zone_slow.resize(static_cast<std::size_t>(std::max(1, settings_.zones)));
   k_.tenant_use.resize(settings_.tenants.size());
 }
 
