End by the settings' deadlines, and bear failing accepts, local connect errors, unseen leavers

- SIGKILL may come 0.7 s after the longest deadline, but kAnswerBy was 3.3 s whatever the settings: PlanTermination derives all times after SIGTERM from the deadlines in force.
- libuv's accept loop spins inside one call while accept fails with ENOMEM or ENOBUFS: a Listener of our own on uv_poll accepts a bounded number a turn, skips what concerns one connection and waits out a shortage.
- A connection that this machine can't open (EMFILE, EADDRNOTAVAIL, ...) counted as the replica's failure and rested it for a second; it is tried again every 20 ms within the connect time-out, then the attempt counts as not sent.
- A client with over 16 KiB of pipelined bytes is not read on, so its end was never seen and its attempt ran to its budget: its socket is asked every 50 ms.
- While draining, requests read behind the one at hand were dropped with the connection; they are answered first.
- A connection on which the tail of an answer was still unsent counted as idle and could be closed.

story_reloads and story_silent-watch answer the first watch while the node starts, as it takes no client before. Discovery.SubscribesWithinTheSpanAndNotInStep held calls to 9 s in 500 ms steps; it now wants 1.1 s in 100 ms steps.

--- a/lab/client.cpp
+++ b/lab/client.cpp
@@ -31,7 +31,7 @@
   http_parser_init(&c.parser, HTTP_RESPONSE);
   c.deadline = run_->deadlines->Set(Now() + most, [this, handle] { End(handle); });
   sockaddr_storage address{};
-  if (!ParseAddress(to, &address) || !c.tcp->Connect(address)) {
+  if (!ParseAddress(to, &address) || c.tcp->Connect(address) != 0) {
     run_->deadlines->Set(Now(), [this, handle] { End(handle); });
   }
 }
--- a/lab/cluster/relay.cpp
+++ b/lab/cluster/relay.cpp
@@ -191,7 +191,7 @@
   b->to = from;
   a->other = out;
   b->other = in;
-  if (b->tcp->Bind(faces_[from]->ip) != 0 || !b->tcp->Connect(addresses_[to])) return Drop(in);
+  if (b->tcp->Bind(faces_[from]->ip) != 0 || b->tcp->Connect(addresses_[to]) != 0) return Drop(in);
   a->tcp->Read();
 }
 
--- a/lab/load/load_client.cpp
+++ b/lab/load/load_client.cpp
@@ -70,7 +70,7 @@
   l.client = this;
   l.tcp = Tcp::New(run_->loop, run_->buffers, this, handle);
   ++connected_;
-  const bool trying = l.tcp->Connect(to_);
+  const bool trying = l.tcp->Connect(to_) == 0;
   Ask(handle, n);
   if (!trying) Finish(handle);
 }
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -12,9 +12,11 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "admin/admin_front.h"
 #include "admin/counters.h"
+#include "app/termination_policy.h"
 #include "base/buffers.h"
 #include "base/deadlines.h"
 #include "base/log.h"
@@ -44,9 +46,7 @@
 
 // The loop's, the listeners, standard streams, the admin listener's callers, some to spare.
 constexpr std::size_t kOwnSockets = 24 + AdminFront::kSockets;
-constexpr Time kServeOn = 1'000'000;   // after SIGTERM, new requests keep coming for a while
-constexpr Time kAnswerBy = 3'300'000;  // SIGKILL comes no sooner than 3.7 s after SIGTERM
-constexpr Time kQuiet = 200'000;       // and the listener closes only once none has come for this long
+constexpr Time kQuiet = 200'000;  // the listener closes only once no client has come for this long
 constexpr Time kFirstListWithin = 2'500'000;  // a new process waits so long for its first list from discovery
 constexpr Time kDrainTick = 50'000;
 constexpr unsigned kLookForHolds = 100;  // ms: what another process of this node is told counts here soon
@@ -403,7 +403,10 @@
     hand_over_.Term();
     downstream_.Drain();
     if (openai_ != nullptr) openai_down_->Drain();
-    streams_.EndBy(drain_began_ + kAnswerBy);
+    std::vector<policy::ClassSettings> in_force;
+    for (const std::size_t i : config_.in_force) in_force.push_back(config_.settings.classes[i]);
+    termination_ = PlanTermination(in_force);
+    streams_.EndBy(drain_began_ + termination_.answer_by, drain_began_ + termination_.take_until);
     Tick();
   }
 
@@ -411,13 +414,12 @@
   // and one in the kernel's queue counts as taken when the listener closes.
   void Tick() {
     const Time now = Now();
-    if (now - drain_began_ >= kServeOn || hand_over_.yielded()) {
+    if (now - drain_began_ >= termination_.close_idle || hand_over_.yielded()) {
       downstream_.CloseIdle();
       if (openai_ != nullptr) openai_down_->CloseIdle();
       const bool quiet = hand_over_.yielded() || now - last_arrival() >= kQuiet;
-      if (clients() == 0 && streams_.size() == 0 && quiet) {
-        return Stop();
-      }
+      const bool listened = hand_over_.yielded() || now - drain_began_ >= termination_.listen_until;
+      if (clients() == 0 && streams_.size() == 0 && quiet && listened) return Stop();
     }
     deadlines_.Set(now + kDrainTick, [this] { Tick(); });
   }
@@ -560,6 +562,7 @@
   std::unique_ptr<Downstream> tier_down_;
   uv_signal_t term_{}, int_{}, hup_{}, usr2_{};
   Time drain_began_ = 0;
+  TerminationPlan termination_;
 };
 
 std::unique_ptr<Dialect> MakeDialect(const Config& config, const EdgeSettings& settings) {
--- /dev/null
+++ b/src/base/listener.cpp
@@ -0,0 +1,100 @@
+#include "base/listener.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+#include <utility>
+
+#include "base/tcp.h"
+
+namespace ryeglade {
+namespace {
+
+constexpr int kBacklog = 1024;
+
+// Closes the descriptor unless it was released.
+class Descriptor {
+ public:
+  explicit Descriptor(int fd) : fd_(fd) {}
+  Descriptor(const Descriptor&) = delete;
+  Descriptor& operator=(const Descriptor&) = delete;
+  ~Descriptor() {
+    if (fd_ >= 0) close(fd_);
+  }
+  int get() const { return fd_; }
+  int Release() { return std::exchange(fd_, -1); }
+
+ private:
+  int fd_;
+};
+
+int PortOf(int fd) {
+  sockaddr_storage bound{};
+  socklen_t length = sizeof bound;
+  getsockname(fd, reinterpret_cast<sockaddr*>(&bound), &length);
+  return ntohs(reinterpret_cast<const sockaddr_in*>(&bound)->sin_port);  // stands there in both families
+}
+
+bool BindAndListen(int fd, const sockaddr_storage& address, bool share_port) {
+  const int on = 1;
+  if (setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0) return false;
+  if (share_port && setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on) != 0) return false;
+  const auto* to = reinterpret_cast<const sockaddr*>(&address);
+  return bind(fd, to, LengthOf(to)) == 0 && listen(fd, kBacklog) == 0;
+}
+
+}  // namespace
+
+Listener::Listener(uv_loop_t* loop, std::function<void()> ready) : loop_(loop), ready_(std::move(ready)) {}
+
+std::string Listener::Listen(const std::string& address, bool share_port) {
+  const auto fail = [&](const char* why) {
+    throw std::runtime_error("cannot listen on " + address + ": " + why);
+  };
+  sockaddr_storage at{};
+  if (!ParseAddress(address, &at)) fail("not an ip:port");
+  Descriptor socket_fd(socket(at.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (socket_fd.get() < 0 || !BindAndListen(socket_fd.get(), at, share_port)) {
+    fail(uv_strerror(uv_translate_sys_error(errno)));
+  }
+  auto* poll = new uv_poll_t;
+  if (const int error = uv_poll_init(loop_, poll, socket_fd.get()); error != 0) {
+    delete poll;
+    fail(uv_strerror(error));
+  }
+  poll->data = this;
+  poll_ = poll;
+  fd_ = socket_fd.Release();
+  Resume();
+  return address.substr(0, address.rfind(':') + 1) + std::to_string(PortOf(fd_));
+}
+
+int Listener::Accept(int* error) {
+  const int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  *error = fd < 0 ? errno : 0;
+  return fd;
+}
+
+void Listener::Pause() {
+  if (poll_ != nullptr) uv_poll_stop(poll_);
+}
+
+void Listener::Resume() {
+  if (poll_ == nullptr) return;
+  uv_poll_start(poll_, UV_READABLE,
+                [](uv_poll_t* p, int, int) { static_cast<Listener*>(p->data)->ready_(); });
+}
+
+void Listener::Close() {
+  if (poll_ == nullptr) return;
+  uv_poll_stop(poll_);
+  uv_close(reinterpret_cast<uv_handle_t*>(std::exchange(poll_, nullptr)),
+           [](uv_handle_t* h) { delete reinterpret_cast<uv_poll_t*>(h); });
+  close(std::exchange(fd_, -1));
+}
+
+}  // namespace ryeglade
--- a/src/base/tcp.cpp
+++ b/src/base/tcp.cpp
@@ -1,5 +1,6 @@
 #include "base/tcp.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -39,21 +40,6 @@
   return uv_ip4_addr(host.c_str(), static_cast<int>(port), reinterpret_cast<sockaddr_in*>(address)) == 0;
 }
 
-int OpenShared(uv_tcp_t* listener, const sockaddr_storage& address) {
-  const int fd = socket(address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd < 0) return uv_translate_sys_error(errno);
-  const int on = 1;
-  if (setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on) != 0 ||
-      setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0) {
-    const int error = uv_translate_sys_error(errno);
-    close(fd);
-    return error;
-  }
-  const int error = uv_tcp_open(listener, fd);
-  if (error != 0) close(fd);
-  return error;
-}
-
 Tcp* Tcp::New(uv_loop_t* loop, Buffers* pool, TcpOwner* owner, Handle handle) {
   Tcp* tcp = new Tcp(pool, owner, handle);
   uv_tcp_init(loop, &tcp->tcp_);
@@ -80,16 +66,15 @@
   return uv_tcp_bind(&tcp_, reinterpret_cast<const sockaddr*>(&from), 0);
 }
 
-bool Tcp::Connect(const sockaddr_storage& address) {
+int Tcp::Connect(const sockaddr_storage& address) {
   connect_.data = this;
-  const int started = uv_tcp_connect(&connect_, &tcp_, reinterpret_cast<const sockaddr*>(&address),
-                                     [](uv_connect_t* c, int status) {
-                                       Tcp* tcp = static_cast<Tcp*>(c->data);
-                                       if (tcp->closing_) return;
-                                       uv_tcp_nodelay(&tcp->tcp_, 1);
-                                       tcp->owner_->OnConnected(tcp->handle_, status);
-                                     });
-  return started == 0;
+  return uv_tcp_connect(&connect_, &tcp_, reinterpret_cast<const sockaddr*>(&address),
+                        [](uv_connect_t* c, int status) {
+                          Tcp* tcp = static_cast<Tcp*>(c->data);
+                          if (tcp->closing_) return;
+                          uv_tcp_nodelay(&tcp->tcp_, 1);
+                          tcp->owner_->OnConnected(tcp->handle_, status);
+                        });
 }
 
 void Tcp::Read() {
@@ -165,6 +150,13 @@
   return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool Tcp::PeerClosed() const {
+  uv_os_fd_t fd = -1;
+  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) != 0) return true;
+  pollfd look{fd, POLLRDHUP, 0};
+  return poll(&look, 1, 0) > 0 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void Tcp::EndWriting() {
   if (!closing_) uv_shutdown(&shutdown_, stream(), nullptr);
 }
--- a/src/base/tcp.h
+++ b/src/base/tcp.h
@@ -25,18 +25,13 @@
 socklen_t LengthOf(const sockaddr* address);  // bytes, of its family: IPv6, else IPv4
 bool ParseAddress(const std::string& text, sockaddr_storage* address);  // "ip:port", "[ip]:port"
 
-// Gives `listener` a socket of the address's family on which SO_REUSEPORT is set, before it is bound: a
-// second process may then listen on the same address, and the kernel shares new connections out between
-// them. A libuv error code; 0: done.
-int OpenShared(uv_tcp_t* listener, const sockaddr_storage& address);
-
 class Tcp {
  public:
   static Tcp* New(uv_loop_t* loop, Buffers* pool, TcpOwner* owner, Handle handle);
   bool Accept(uv_stream_t* listener);
   bool Open(int fd);                       // an accepted connection, from here on this one's, or closed
   int Bind(const sockaddr_storage& from);  // before Connect: the address to come from; a libuv error code
-  bool Connect(const sockaddr_storage& address);
+  int Connect(const sockaddr_storage& address);  // a libuv error code; 0: OnConnected tells how it went
   void Read();
   void StopReading() { uv_read_stop(stream()); }
   // Writes at once what the kernel takes and keeps the rest; false: the connection is broken or the pool is
@@ -46,6 +41,7 @@
   std::size_t unsent() const { return sending_.size() + queued_.size(); }
   sockaddr_storage Peer() const;  // all zero: not known
   bool Quiet() const;             // nothing waits to be read, neither bytes nor the end
+  bool PeerClosed() const;        // the peer has closed or reset, whether or not bytes wait to be read
   void EndWriting();              // a FIN after all that was written
   void Close();                   // the object is gone once the loop has closed the socket
 
--- a/src/core/discovery.cpp
+++ b/src/core/discovery.cpp
@@ -21,7 +21,7 @@
 // An idle watch says something every 2 s. Guards against one that is cut off without a word: changes count as
 // told 6 s later whether they arrived or not, and asking anew takes its time too.
 constexpr Time kLineWithin = 2'800'000;
-constexpr Time kMoveAgain = 250'000;  // a move that failed is tried again after this, up to twice that
+constexpr Time kMoveAgain = 250'000;   // a move that failed is tried again after this, up to twice that
 constexpr Time kWatchAgain = 200'000;  // a kept watch is opened again after this, up to twice that
 constexpr std::size_t kMostText = std::size_t{8} * 1024 * 1024;
 
@@ -112,7 +112,7 @@
   sockaddr_storage address{};
   ParseAddress(address_, &address);
   Expect(handle, kConnectWithin);
-  if (!c.tcp->Connect(address)) Failed(handle, "connect");
+  if (c.tcp->Connect(address) != 0) Failed(handle, "connect");
 }
 
 void Discovery::Expect(Handle handle, Time within) {
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -20,6 +20,10 @@
 
 Handle Streams::Open(StreamRequest request, StreamSink* sink, Handle client) {
   const Time now = Now();
+  if (end_by_ != 0 && now >= take_until_) {
+    sink->OnRefused(client, kGuardRetryAfter);
+    return 0;
+  }
   Time patience = std::max<Time>(0, request.arrival.patience - (now - request.sent_at));
   if (end_by_ != 0) patience = std::min(patience, std::max<Time>(0, end_by_ - now));
   core_->dialect->Prepare(request);
@@ -50,14 +54,15 @@
 }
 
 // Guards against a budget that is longer than this process has to live: SIGKILL would find it unanswered.
-void Streams::EndBy(Time at) {
+void Streams::EndBy(Time at, Time take_until) {
   end_by_ = at;
+  take_until_ = take_until;
   for (const Handle handle : table_.All()) {
     Stream& s = *table_.Get(handle);
     if (!s.started && s.deadline > at) Bound(s, handle, at);
   }
   if (core_->config->settings.can_move_streams) {
-    core_->deadlines->Set(at - kMoveBefore, [this] { MoveOn(); });
+    core_->deadlines->Set(std::max(Now(), at - kMoveBefore), [this] { MoveOn(); });
   }
 }
 
--- a/src/core/streams.h
+++ b/src/core/streams.h
@@ -68,9 +68,9 @@
   void Fail(Handle stream) override;
   void Move(Handle stream) override;
 
-  // Whatever has not begun by then gets its answer then, and so does whatever still comes. What has begun
-  // ends a little earlier if its client may ask for the rest elsewhere.
-  void EndBy(Time at);
+  // Whatever has not begun by `at` gets its answer then. What comes after `take_until` is refused at once.
+  // What has begun ends a little earlier if its client may ask for the rest elsewhere.
+  void EndBy(Time at, Time take_until);
 
   Stream* Get(Handle stream) override { return table_.Get(stream); }
   std::size_t size() const { return table_.size(); }
@@ -90,6 +90,7 @@
   Core* core_;
   Slots<Stream> table_;
   Time end_by_ = 0;  // 0: no end in sight
+  Time take_until_ = 0;
 };
 
 }  // namespace ryeglade
--- a/src/core/upstream.cpp
+++ b/src/core/upstream.cpp
@@ -4,13 +4,16 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <charconv>
 #include <cmath>
 #include <cstdio>
+#include <cstring>
 #include <iterator>
 #include <utility>
 
 #include "base/log.h"
+#include "base/socket_error_model.h"
 #include "core/streams.h"
 
 namespace ryeglade {
@@ -25,6 +28,7 @@
 constexpr Time kIdleMargin = 500'000;    // idle connections go this long before the host closes them
 constexpr Time kOpenWithin = 1'000'000;  // from an answer's first byte to its first whole event
 constexpr Time kRest = 10'000;  // a parked connection is not used again before it has been quiet this long
+constexpr Time kConnectAgain = 20'000;  // after a connection that this machine could not open
 constexpr std::uint64_t kMostChunk = std::uint64_t{256} * 1024;
 
 const char* Name(Outcome o) {
@@ -103,8 +107,8 @@
   return true;
 }
 
-Handle Upstream::Connect(ReplicaId to, Handle request) {
-  if (!MakeRoom()) return 0;
+Upstream::Connecting Upstream::Connect(ReplicaId to, Handle request) {
+  if (!MakeRoom()) return {0, EMFILE};
   const Handle handle = connections_.Add({});
   Connection& c = *connections_.Get(handle);
   c.host = to;
@@ -114,9 +118,10 @@
     const Connection* late = connections_.Get(handle);
     if (late != nullptr && !late->connected) Finish(late->request, Outcome::kConnectFailed);
   });
-  if (c.tcp->Connect(hosts_.at(to).address)) return handle;
+  const int error = c.tcp->Connect(hosts_.at(to).address);
+  if (error == 0) return {handle, 0};
   Drop(handle);
-  return 0;
+  return {0, -error};  // libuv's codes are errno's values, negated
 }
 
 void Upstream::Drop(Handle handle) {
@@ -199,11 +204,30 @@
     connections_.Get(idle)->request = handle;
     return Write(idle);
   }
-  const bool room = MakeRoom();
-  r.connection = Connect(r.replica, handle);
-  if (r.connection != 0) return;
-  if (!room) Log(Level::kWarn, "no-socket", {{"replica", Hex8(r.replica)}});
-  Finish(handle, room ? Outcome::kConnectFailed : Outcome::kNotSent);
+  OpenConnection(handle);
+}
+
+// A connection that this machine cannot open for now says nothing of the host: it is tried again until a
+// connection would have had to be up, and then the attempt counts as not sent.
+void Upstream::OpenConnection(Handle handle) {
+  Request* r = requests_.Get(handle);
+  if (r == nullptr || r->connection != 0) return;
+  if (!hosts_.contains(r->replica)) return Finish(handle, Outcome::kConnectFailed);
+  const Connecting connecting = Connect(r->replica, handle);
+  r = requests_.Get(handle);
+  if (r == nullptr) return;
+  r->connection = connecting.connection;
+  if (connecting.error == 0) return;
+  if (!IsLocalConnectError(connecting.error)) return Finish(handle, Outcome::kConnectFailed);
+  RetryConnection(handle, connecting.error);
+}
+
+void Upstream::RetryConnection(Handle handle, int error) {
+  const Request& r = *requests_.Get(handle);
+  Log(Level::kWarn, "no-socket", {{"replica", Hex8(r.replica)}, {"why", std::strerror(error)}});
+  const Time again = Now() + kConnectAgain;
+  if (again >= r.sent_at + core_->config->settings.connect_timeout) return Finish(handle, Outcome::kNotSent);
+  core_->deadlines->Set(again, [this, handle] { OpenConnection(handle); });
 }
 
 void Upstream::Expect(Handle handle, Time by) {
@@ -260,6 +284,12 @@
 void Upstream::OnConnected(Handle handle, int status) {
   Connection* c = connections_.Get(handle);
   if (c == nullptr) return;
+  if (status != 0 && IsLocalConnectError(-status)) {
+    const Handle request = c->request;
+    Drop(handle);
+    requests_.Get(request)->connection = 0;
+    return RetryConnection(request, -status);
+  }
   if (status != 0) return Finish(c->request, Outcome::kConnectFailed);
   c->connected = true;
   c->tcp->Read();
--- a/src/core/upstream.h
+++ b/src/core/upstream.h
@@ -97,7 +97,14 @@
   };
 
   void Begin(Request request, Time deadline);
-  Handle Connect(ReplicaId to, Handle request);
+  // A connection that is being opened, or why it can't be, as an errno value.
+  struct Connecting {
+    Handle connection = 0;
+    int error = 0;
+  };
+  Connecting Connect(ReplicaId to, Handle request);
+  void OpenConnection(Handle request);
+  void RetryConnection(Handle request, int error);
   bool MakeRoom();
   void Write(Handle connection);
   void Silence(Handle request);
--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -5,9 +5,10 @@
 
 #include <algorithm>
 #include <cstdio>
-#include <stdexcept>
+#include <cstring>
 
 #include "base/log.h"
+#include "base/socket_error_model.h"
 
 namespace ryeglade {
 namespace {
@@ -23,7 +24,8 @@
 constexpr Time kIdleFrom = 200'000;  // what a request may take to follow its connection
 constexpr Time kAcceptAgain = 20'000;
 constexpr std::uint32_t kMostHead = 16 * 1024;
-constexpr int kBacklog = 1024;
+constexpr int kAcceptsAtOnce = 64;         // in one turn of the loop, so that the others get theirs
+constexpr Time kLookForEndEvery = 50'000;  // at a client whose bytes are not read for now
 
 const char* Reason(int status) {
   switch (status) {
@@ -81,29 +83,12 @@
       front_(front),
       options_(std::move(options)),
       most_(options_.most_sockets * 9 / 10),
-      surplus_(options_.most_sockets - most_) {}
+      surplus_(options_.most_sockets - most_),
+      listener_(run->loop, [this] { Accept(); }) {}
 
 std::string Downstream::Listen() {
   http_parser_set_max_header_size(kMostHead);
-  sockaddr_storage address{};
-  ParseAddress(options_.listen, &address);
-  listener_ = new uv_tcp_t;
-  uv_tcp_init(core_->loop, listener_);
-  listener_->data = this;
-  listening_ = true;
-  int error = options_.share_port ? OpenShared(listener_, address) : 0;
-  if (error == 0) error = uv_tcp_bind(listener_, reinterpret_cast<const sockaddr*>(&address), 0);
-  if (error == 0) {
-    error = uv_listen(reinterpret_cast<uv_stream_t*>(listener_), kBacklog, [](uv_stream_t* s, int status) {
-      if (status == 0) static_cast<Downstream*>(s->data)->Accept();
-    });
-  }
-  if (error != 0) throw std::runtime_error("cannot listen on " + options_.listen + ": " + uv_strerror(error));
-  int length = sizeof address;
-  uv_tcp_getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
-  const auto* in = reinterpret_cast<const sockaddr_in*>(&address);  // the port stands there in both families
-  const std::string& told = options_.listen;
-  return options_.listen = told.substr(0, told.rfind(':') + 1) + std::to_string(ntohs(in->sin_port));
+  return options_.listen = listener_.Listen(options_.listen, options_.share_port);
 }
 
 // ---- Connections ----
@@ -111,7 +96,7 @@
 // Guards against closing a connection on which a request is on its way: one that is new, or has just had its
 // answer, is not idle yet.
 bool Downstream::Idle(const Client& c) {
-  return c.state == State::kIdle && Now() - c.idle_since >= kIdleFrom;
+  return c.state == State::kIdle && Now() - c.idle_since >= kIdleFrom && c.tcp->unsent() == 0;
 }
 
 // Guards against running out of descriptors. First goes who has had a last answer and lingers, then who has
@@ -157,22 +142,41 @@
 }
 
 void Downstream::Accept() {
-  if (!MakeRoom() && clients_.size() >= most_ + surplus_) {
-    if (!waiting_) Log(Level::kWarn, "accept-waits", {{"clients", clients_.size()}});
-    waiting_ = true;
-    // Guards against a connection that is never taken up: clients that become idle close nothing themselves.
-    core_->deadlines->Set(Now() + kAcceptAgain, [this] {
-      if (listening_) Accept();
-    });
-    return;
+  for (int n = 0; n < kAcceptsAtOnce && listener_.listening(); ++n) {
+    if (!MakeRoom() && clients_.size() >= most_ + surplus_) return AcceptLater("no-room");
+    if (!AcceptOne()) return;
   }
-  waiting_ = false;
-  AcceptOne();
 }
 
-void Downstream::AcceptOne() { Add(-1); }
+// Guards against a connection that is never taken up, and against a loop that spins on what can't be
+// accepted: clients that become idle close nothing themselves, and a machine that is short of something tells
+// no one when it has it again.
+void Downstream::AcceptLater(const char* why) {
+  listener_.Pause();
+  if (!waiting_) Log(Level::kWarn, "accept-waits", {{"clients", clients_.size()}, {"why", why}});
+  waiting_ = true;
+  core_->deadlines->Set(Now() + kAcceptAgain, [this] {
+    if (!listener_.listening()) return;
+    listener_.Resume();
+    Accept();
+  });
+}
+
+// False: nothing more can be accepted now.
+bool Downstream::AcceptOne() {
+  int error = 0;
+  const int fd = listener_.Accept(&error);
+  if (fd >= 0) {
+    waiting_ = false;
+    Add(fd);
+    return true;
+  }
+  const AcceptStep next = AfterAcceptError(error);
+  if (next == AcceptStep::kTryLater) AcceptLater(std::strerror(error));
+  return next == AcceptStep::kTryNext;
+}
 
-// `fd`: a connection already accepted; -1: the listener's next.
+// `fd`: a connection already accepted.
 void Downstream::Add(int fd) {
   const bool surplus = clients_.size() >= most_;
   const Handle handle = clients_.Add(Client(core_->buffers, options_.most_body));
@@ -181,8 +185,7 @@
   c.surplus = surplus;
   http_parser_init(&c.parser, HTTP_REQUEST);
   c.idle_since = last_arrival_ = Now();
-  if (!(fd >= 0 ? c.tcp->Open(fd) : c.tcp->Accept(reinterpret_cast<uv_stream_t*>(listener_))))
-    return Drop(handle);
+  if (!c.tcp->Open(fd)) return Drop(handle);
   if (options_.admits && !options_.admits(c.tcp->Peer())) {
     Log(Level::kWarn, "client-not-admitted");
     return Drop(handle);
@@ -218,30 +221,19 @@
   }
 }
 
-void Downstream::StopListening() {
-  if (listening_) {
-    uv_close(reinterpret_cast<uv_handle_t*>(listener_),
-             [](uv_handle_t* h) { delete reinterpret_cast<uv_tcp_t*>(h); });
-  }
-  listening_ = false;
-}
+void Downstream::StopListening() { listener_.Close(); }
 
 // Guards against resets: a connection that the kernel has set up and nobody has taken goes with the listener.
 // The loop would take them only on its next turn, and more come until then.
 void Downstream::TakeWaiting() {
-  uv_os_fd_t listener = -1;
-  if (!listening_ || uv_fileno(reinterpret_cast<uv_handle_t*>(listener_), &listener) != 0) return;
-  for (int fd = 0; clients_.size() < most_ + surplus_ &&
-                   (fd = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0;) {
-    Add(fd);
+  while (listener_.listening() && clients_.size() < most_ + surplus_ && AcceptOne()) {
   }
 }
 
 void Downstream::Yield() {
   yielded_ = draining_ = true;
-  if (waiting_) AcceptOne();
-  waiting_ = false;
   TakeWaiting();
+  waiting_ = false;
   StopListening();
   CloseIdle();
   SweepIdle();
@@ -333,12 +325,25 @@
   if (c == nullptr || c->state == State::kLingering) return;
   c->ahead.append(bytes);
   if (c->state == State::kAnswering) {
-    if (c->ahead.size() > kMostAhead) c->tcp->StopReading();
+    if (c->ahead.size() > kMostAhead) {
+      c->tcp->StopReading();
+      WatchPaused(handle);
+    }
     return;
   }
   Feed(handle);
 }
 
+// Guards against work for a client that has gone: while its bytes are not read, its end does not show in
+// them.
+void Downstream::WatchPaused(Handle handle) {
+  core_->deadlines->Set(Now() + kLookForEndEvery, [this, handle] {
+    const Client* c = clients_.Get(handle);
+    if (c == nullptr || c->state != State::kAnswering || c->ahead.size() <= kMostAhead) return;
+    c->tcp->PeerClosed() ? Lost(handle) : WatchPaused(handle);
+  });
+}
+
 // Parses what was read, up to the end of one request; and the next if the first is answered meanwhile.
 void Downstream::Feed(Handle handle) {
   Client* c = clients_.Get(handle);
@@ -390,7 +395,8 @@
 void Downstream::Reply(Handle handle, int status, const std::string& headers, std::string_view body) {
   Client* c = clients_.Get(handle);
   if (c == nullptr || c->state != State::kAnswering) return;
-  if (draining_) c->keep_alive = false;
+  // What was read behind this request is answered too before the connection goes.
+  if (draining_ && c->ahead.empty()) c->keep_alive = false;
   const std::string head = "HTTP/1.1 " + std::to_string(status) + " " + Reason(status) + "\r\n" + headers +
                            (c->keep_alive ? "" : "Connection: close\r\n") +
                            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
@@ -407,7 +413,8 @@
 void Downstream::BeginChunks(Handle handle, const std::string& headers) {
   Client* c = clients_.Get(handle);
   if (c == nullptr || c->state != State::kAnswering) return;
-  if (draining_) c->keep_alive = false;
+  // What was read behind this request is answered too before the connection goes.
+  if (draining_ && c->ahead.empty()) c->keep_alive = false;
   Sent(handle,
        c->tcp->Write("HTTP/1.1 200 OK\r\n" + headers + (c->keep_alive ? "" : "Connection: close\r\n") +
                      "Transfer-Encoding: chunked\r\n\r\n"));
--- a/src/http/downstream.h
+++ b/src/http/downstream.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/listener.h"
 #include "base/runtime.h"
 #include "base/slots.h"
 #include "base/tcp.h"
@@ -103,8 +104,10 @@
   };
 
   void Accept();
-  void AcceptOne();
+  bool AcceptOne();
+  void AcceptLater(const char* why);
   void Add(int fd);
+  void WatchPaused(Handle connection);
   void SweepIdle();
   void StopListening();
   void TakeWaiting();
@@ -124,9 +127,8 @@
   Front* front_;
   Options options_;
   std::size_t most_, surplus_;
-  uv_tcp_t* listener_ = nullptr;  // goes with its close
-  bool listening_ = false;
-  bool waiting_ = false;  // a connection waits to be accepted, and there is no room
+  Listener listener_;
+  bool waiting_ = false;  // connections wait to be accepted, for want of room or of what the system lacks
   bool draining_ = false;
   bool yielded_ = false;
   Time last_arrival_ = 0;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -353,7 +353,7 @@
   }
   call->deadline = run_->deadlines->Set(Now() + std::max<Time>(2'000'000, 3 * settings_.period),
                                         [this, handle] { End(handle, false); });
-  if (call->tcp->Bind(from) != 0 || !call->tcp->Connect(address)) End(handle, false);
+  if (call->tcp->Bind(from) != 0 || call->tcp->Connect(address) != 0) End(handle, false);
 }
 
 void Membership::OnConnected(Handle handle, int status) {
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -368,8 +368,8 @@
   // Nodes start together: calls in step would overrun discovery, so each waits a random part of a span. It is
   // short: the list known at the start may be old, and what it lacks counts as told before long.
   if (settings_.ask_for_list) {
-    const Time span = settings_.ask_within > 0 ? std::min(kFirstAskWithin, settings_.ask_within * 4 / 10)
-                                               : kFirstAskWithin;
+    const Time span =
+        settings_.ask_within > 0 ? std::min(kFirstAskWithin, settings_.ask_within * 4 / 10) : kFirstAskWithin;
     SetAlarm(now + static_cast<Time>(Random() * static_cast<double>(span)), Wake::kAsk, 0);
   }
 }
--- /dev/null
+++ b/tests/faults.cpp
@@ -0,0 +1,231 @@
+// Scenarios of failures around a node as a process: system calls that fail for a while (a preloaded library),
+// clients that leave unseen, an early end, a list that is old. `faults PROGRAM LIBRARY NAME` plays one of
+// them.
+#include <cerrno>
+#include <functional>
+#include <map>
+#include <thread>
+
+#include "peers.h"
+
+namespace stories {
+namespace {
+
+std::string program, library;
+const std::string kNobody = "127.0.0.1:9";  // discovery that the node never needs
+
+bool Has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+nlohmann::json ListOf(const Peer& host, int generation = 1) {
+  return List(generation, true, {Instance("s-a", host.at())});
+}
+
+// Answers the request that comes on the next connection, and takes it to its end.
+void ServeOne(const Peer& host, Conn& client, const std::string& id) {
+  client.Send(Ask(id));
+  Conn up = host.Accept();
+  assert(Has(up.Message(), "X-Call-Id: " + id));
+  up.Send(kStream);
+  up.Chunk("data: x\n\n");
+  up.Chunk("");
+  assert(Has(client.Until("0\r\n\r\n"), "data: x"));
+}
+
+// Nodes that start while one of these lives have the fault.
+class Preloaded {
+ public:
+  explicit Preloaded(const std::string& fault) {
+    assert(close(mkstemp(counts_)) == 0);
+    setenv("LD_PRELOAD", library.c_str(), 1);
+    setenv("RYEGLADE_TEST_FAULT", fault.c_str(), 1);
+    setenv("RYEGLADE_TEST_FAULT_COUNT", counts_, 1);
+  }
+  Preloaded(const Preloaded&) = delete;
+  Preloaded& operator=(const Preloaded&) = delete;
+  ~Preloaded() {
+    for (const char* name : {"LD_PRELOAD", "RYEGLADE_TEST_FAULT", "RYEGLADE_TEST_FAULT_COUNT"})
+      unsetenv(name);
+    std::remove(counts_);
+  }
+  int failures() const {
+    std::ifstream in(counts_);
+    int n = 0;
+    in >> n;
+    return n;
+  }
+
+ private:
+  char counts_[40] = "/tmp/ryeglade-fault-count-XXXXXX";
+};
+
+// Accept fails for half a second: the listener is not lost, the loop does not spin on it, the client is
+// served.
+void AcceptFails() {
+  for (const int error : {ENOMEM, ENOBUFS, ENFILE, EMFILE}) {
+    const Preloaded fault("accept4:" + std::to_string(error) + ":500");
+    const Peer host;
+    const Node node(program, ListOf(host), kNobody);
+    Conn client = node.Client();
+    ServeOne(host, client, "1");
+    assert(fault.failures() > 0 && fault.failures() < 200);
+  }
+}
+
+// The same for errors that belong to one connection: the next is taken at once.
+void AcceptAborts() {
+  for (const int error : {ECONNABORTED, EPROTO, ENETUNREACH}) {
+    const Preloaded fault("accept4:" + std::to_string(error) + ":2");
+    const Peer host;
+    const Node node(program, ListOf(host), kNobody);
+    Conn client = node.Client();
+    ServeOne(host, client, "1");
+    assert(fault.failures() > 0 && !Has(node.Log(), "accept-waits"));
+  }
+}
+
+// This machine can't open a connection for a moment: no attempt is spent and nothing is held against the
+// host.
+void ConnectFailsHere() {
+  for (const int error : {EADDRNOTAVAIL, ENOBUFS, ENOMEM}) {
+    const Peer host;
+    const Preloaded fault("connect:" + std::to_string(error) + ":200:" + std::to_string(host.port()));
+    const Node node(program, ListOf(host), kNobody);
+    Conn client = node.Client();
+    ServeOne(host, client, "1");
+    assert(fault.failures() > 0 && !Has(node.Log(), "attempt-ended"));
+  }
+}
+
+// The host can't be reached: that is evidence on the host.
+void ConnectFailsThere() {
+  const Peer host;
+  const Preloaded fault("connect:" + std::to_string(EHOSTUNREACH) + ":100:" + std::to_string(host.port()));
+  const Node node(program, ListOf(host), kNobody);
+  Conn client = node.Client();
+  client.Send(Ask("1"));
+  node.WaitLog("outcome=connect-failed");
+}
+
+// A client that sends much ahead is not read on; that it has gone is noticed all the same, and its attempt
+// ends.
+void GoneBehindPipelined() {
+  const Peer host;
+  const Node node(program, ListOf(host), kNobody);
+  Conn client = node.Client();
+  std::string many = Ask("1");
+  while (many.size() < 100'000) many += Ask(std::to_string(many.size()));
+  client.Send(many);
+  Conn up = host.Accept();
+  up.Message();
+  usleep(100'000);
+  client.Close();
+  assert(up.Readable(10'000) && up.ToEnd().empty());  // its budget is 30 s
+}
+
+// While a node ends it answers what it has read behind a request too, before the connection goes.
+void AnswersPipelinedAtTheEnd() {
+  const Peer host;
+  Node node(program, ListOf(host), kNobody);
+  Conn client = node.Client();
+  client.Send(Ask("1") + "GET /_health HTTP/1.1\r\n\r\nGET /_health HTTP/1.1\r\n\r\n");
+  Conn up = host.Accept();
+  up.Message();
+  node.Term();
+  node.WaitLog("draining");
+  up.Send(kStream);
+  up.Chunk("data: x\n\n");
+  up.Chunk("");
+  const std::string all = client.ToEnd();
+  assert(Has(all, "data: x") && Has(all, "0\r\n\r\nHTTP/1.1 503"));
+  assert(all.find(" 503 ") != all.rfind(" 503 ") && Has(all, "Connection: close"));
+  assert(node.Exit() == 0);
+}
+
+// SIGKILL may come 0.7 s after the longest deadline that the settings tell: with one of 1 s, what has not
+// begun is answered before that, although its client would wait for 30 s, and what comes late is refused
+// unsent.
+void EndsByTheSettings() {
+  const Peer host;
+  Node node(program, ListOf(host), kNobody);
+  nlohmann::json settings = node.config()["settings"];
+  settings["classes"][0]["deadline"] = 1'000'000;
+  settings["classes"][0]["promise"] = 500'000;
+  node.Reload("settings", settings);
+  node.WaitLog("retuned");
+  Conn client = node.Client(), late = node.Client();
+  client.Send(Ask("1"));
+  Conn up = host.Accept();
+  up.Message();
+  const std::string ask = Ask("2");
+  late.Send(ask.substr(0, 60));
+  node.Term();
+  node.WaitLog("draining");
+  usleep(800'000);
+  late.Send(ask.substr(60));
+  assert(Has(late.Message(), " 503 ") && !host.Called(0));
+  assert(client.Readable(1'500) && Has(client.Message(), " 503 "));  // 3.3 s after SIGTERM without that
+  assert(node.Exit() == 0);
+}
+
+// Reads a call for a watch and tells `list` on it.
+Conn AnswerWatch(const Peer& discovery, const nlohmann::json& list) {
+  Conn watch = discovery.Accept();
+  assert(Has(watch.Message(), "follow=1"));
+  watch.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  watch.Chunk(list.dump() + "\n");
+  return watch;
+}
+
+// The list that a node is given at its start may be old: it takes no client before discovery has told the
+// rest.
+void FirstListFirst() {
+  const Peer discovery, gone, host;
+  Conn watch;
+  std::thread tells([&] {
+    assert(discovery.Called(kPatienceMs));
+    usleep(700'000);
+    watch = AnswerWatch(discovery, List(2, true, {Instance("s-b", host.at())}));
+  });
+  const Node node(program, ListOf(gone), discovery.at(), "ask");
+  tells.join();
+  const std::string log = node.Log();
+  assert(log.find("scope=full") < log.find("event=listening "));
+  Conn client = node.Client();
+  ServeOne(host, client, "1");
+  assert(!gone.Called(0));
+}
+
+// Where lists are pushed the node opens a watch by itself, and opens it again when it ends.
+void PushedLists() {
+  const Peer discovery, before, after;
+  const Node node(program, ListOf(before), discovery.at(), "push");
+  AnswerWatch(discovery, List(2, false, {})).Close();
+  Conn watch = AnswerWatch(
+      discovery, List(3, false, {Instance("s-a", before.at(), "leaving"), Instance("s-b", after.at())}));
+  node.WaitLog("generation=3");
+  Conn client = node.Client();
+  ServeOne(after, client, "1");
+  assert(!before.Called(0));
+}
+
+}  // namespace
+}  // namespace stories
+
+int main(int argc, char** argv) {
+  using namespace stories;
+  const std::map<std::string, std::function<void()>> all = {{"accept-fails", AcceptFails},
+                                                            {"accept-aborts", AcceptAborts},
+                                                            {"connect-fails-here", ConnectFailsHere},
+                                                            {"connect-fails-there", ConnectFailsThere},
+                                                            {"gone-behind-pipelined", GoneBehindPipelined},
+                                                            {"answers-pipelined", AnswersPipelinedAtTheEnd},
+                                                            {"ends-by-settings", EndsByTheSettings},
+                                                            {"first-list-first", FirstListFirst},
+                                                            {"pushed-lists", PushedLists}};
+  signal(SIGPIPE, SIG_IGN);
+  assert(argc == 4 && all.contains(argv[3]));
+  program = argv[1];
+  library = argv[2];
+  all.at(argv[3])();
+  std::printf("ok %s\n", argv[3]);
+}
--- a/tests/router_path_test.cpp
+++ b/tests/router_path_test.cpp
@@ -315,6 +315,31 @@
   EXPECT_GE(own, 45);
 }
 
+// A node of many sees few answers of each replica, so it learns how late its zone is from all of them at
+// once.
+TEST(Choice, LeavesAZoneThatAnswersLateAsAWhole) {
+  Settings s = BasicSettings();
+  s.nodes = 100;
+  s.zones = 2;
+  s.zone = 1;
+  s.fee_cross_zone = 0.08;
+  Node n(s);
+  std::vector<ReplicaEntry> fleet;
+  for (ReplicaId id = 0; id < 60; ++id) fleet.push_back(Ready(id, id < 30 ? 0 : 1));
+  n.List(fleet);
+  int crossed_early = 0, crossed_late = 0;
+  for (int i = 0; i < 200; ++i) {
+    const RequestId id = n.Ask();
+    const bool own = n.Sends(id).at(0).replica >= 30;
+    if (!own) ++(i < 100 ? crossed_early : crossed_late);
+    n.Pass(50 * kMs);
+    const bool slow = own && i >= 100;
+    n.Serve(id, 0, slow ? 8000 * kMs : 400 * kMs);  // the first token comes after a quarter of it
+  }
+  EXPECT_LE(crossed_early, 10);
+  EXPECT_GE(crossed_late, 50);
+}
+
 // Copies of overdue requests were tried and lost: where first tokens are late, there is no room for them.
 TEST(SecondCopies, AreNotSent) {
   Settings s = BasicSettings();
--- a/tests/router_rules_test.cpp
+++ b/tests/router_rules_test.cpp
@@ -406,10 +406,10 @@
     n.List({Ready(1)}, ListScope::kCached);
     while (n.All<SubscribeList>().empty() && n.now < start + 10 * kSecond) n.Pass(50 * kMs);
     ASSERT_EQ(n.All<SubscribeList>().size(), 1u);
-    EXPECT_LT(n.now, start + 9 * kSecond);
-    times.insert((n.now - start) / (500 * kMs));
+    EXPECT_LT(n.now, start + 1100 * kMs);
+    times.insert((n.now - start) / (100 * kMs));
   }
-  EXPECT_GE(times.size(), 4u);
+  EXPECT_GE(times.size(), 6u);
 }
 
 TEST(Discovery, ABrokenSubscriptionKeepsTheListAndIsRenewed) {
@@ -426,6 +426,38 @@
   EXPECT_EQ(n.All<SubscribeList>().size(), asked + 1);
 }
 
+// A list known at the start may be old, and what it lacks counts as told before long.
+TEST(Discovery, TheFirstListIsAskedForWithinASecond) {
+  Settings s = BasicSettings();
+  s.ask_for_list = true;
+  s.ask_within = 10 * kSecond;
+  for (std::uint64_t seed = 0; seed < 20; ++seed) {
+    Node n(s, seed);
+    n.List({Ready(1)}, ListScope::kCached);
+    n.Pass(1 * kSecond);
+    EXPECT_EQ(n.All<SubscribeList>().size(), 1u);
+  }
+}
+
+// A change counts as told at the latest 6 s after discovery has it and can be reached, however long it was
+// down.
+TEST(Discovery, AnOutageOfAnyLengthIsFollowedByACallSoon) {
+  Settings s = BasicSettings();
+  s.ask_for_list = true;
+  s.ask_within = 10 * kSecond;
+  for (std::uint64_t seed = 0; seed < 20; ++seed) {
+    Node n(s, seed);
+    n.List({Ready(1)}, ListScope::kCached);
+    n.Pass(1 * kSecond);
+    for (int failure = 0; failure < 30; ++failure) {
+      const std::size_t asked = n.All<SubscribeList>().size();
+      n.List({}, ListScope::kFailed);
+      n.Pass(3 * kSecond);
+      ASSERT_EQ(n.All<SubscribeList>().size(), asked + 1);
+    }
+  }
+}
+
 TEST(Discovery, PushModeAsksNothing) {
   Node n(BasicSettings());
   n.List({Ready(1)}, ListScope::kCached);
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -1,6 +1,7 @@
 // Stories: the node between scripted peers, one for each failure met or expected. `stories PROGRAM NAME`
 // plays one of them.
 #include <cstring>
+#include <future>
 #include <map>
 
 #include "base/buffers.h"
@@ -328,6 +329,15 @@
   return watch;
 }
 
+// The watch that a node opens while it starts, in a thread, as the node takes no client before it has told.
+std::future<Conn> WatchedAtStart(const Peer& discovery, const std::string& since) {
+  return std::async(std::launch::async, [&discovery, since] {
+    Conn watch = Watched(discovery, since);
+    watch.Chunk(List(std::stoi(since), false, {}).dump() + "\n");
+    return watch;
+  });
+}
+
 void Serves(const Node& node, const Peer& host, const std::string& id) {
   Conn client = node.Client();
   client.Send(Ask(id));
@@ -371,9 +381,9 @@
 // list, and the old watch is kept until the new one tells. SIGTERM still ends the node with 0.
 void Reloads() {
   Peer before, after, a, b;
+  std::future<Conn> first = WatchedAtStart(before, "4");
   Node node(program, List(4, true, {Instance("s-a", a.at())}), kNobody, "ask", 1024, 192, before.at());
-  Conn watch = Watched(before, "4");
-  watch.Chunk(List(4, false, {}).dump() + "\n");
+  Conn watch = first.get();
   node.Write("{");
   node.Hup();
   node.WaitLog("reload-failed");
@@ -404,9 +414,9 @@
 // A watch that is cut off without a word is noticed and asked for anew well before changes count as told.
 void SilentWatch() {
   Peer discovery, a;
+  std::future<Conn> first_watch = WatchedAtStart(discovery, "4");
   Node node(program, List(4, true, {Instance("s-a", a.at())}), discovery.at(), "ask");
-  Conn watch = Watched(discovery, "4");
-  watch.Chunk(List(4, false, {}).dump() + "\n");
+  Conn watch = first_watch.get();
   Conn again = Watched(discovery, "4");
   again.Chunk(List(4, false, {}).dump() + "\n");
   const std::string word = "event=watching", log = (node.WaitLog("why=silent"), usleep(300'000), node.Log());
