--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -279,6 +279,9 @@
   }
   void LearnFailure(Replica& x, Outcome o);
   double Slowness(const Replica& x) const;
+  bool ManyNodes() const { return settings_.nodes > kFewNodes; }
+  // Of many nodes one may have most of the traffic, so its level is not bound to its part.
+  double MostLevel() const { return ManyNodes() ? kMostInFlight : kMostInFlight / parts_; }
   double KindSlowness(int kind) const;
   double ZoneSlowness(int zone) const;
   double KeyShare(std::uint64_t key, bool hot_only) const;
@@ -361,7 +364,7 @@
   settings_.nodes = std::max(1, settings_.nodes);
   parts_ = split_at_ = settings_.nodes;
   // Traffic is spread unevenly over many nodes, so their parts of a cap are never all in use together.
-  const double start = settings_.nodes > kFewNodes ? kManyNodesStart * kStartInFlight : kStartInFlight;
+  const double start = ManyNodes() ? kManyNodesStart * kStartInFlight : kStartInFlight;
   k_.level = start / parts_;
   k_.retry_budget = kBudgetMost / 2;
   Fit();
@@ -922,6 +925,7 @@
 // How slow the replicas of a zone answer now: where traffic is unequal a zone is overrun as a whole, and a
 // node of many sees too few answers of each replica to learn that one by one.
 double Router::Impl::ZoneSlowness(int zone) const {
+  if (!ManyNodes()) return 0;
   const std::size_t z = static_cast<std::size_t>(zone);
   return z < k_.zone_slow.size() ? k_.zone_slow[z].Shrunk(now_, kZoneMemory, kKindWeight) : 0;
 }
@@ -940,7 +944,7 @@
     if (late) Fall(kFall);
   } else if (in_good_time && k_.wait < kEasy && in_flight_ + beside_ >= kInUse * cap_total_) {
     k_.level = std::min(
-        kMostInFlight,
+        MostLevel(),
         k_.level * (1 + (k_.fell_from > 0 && k_.level > kKnown * k_.fell_from ? kRisePerRound : kFirstRise) /
                             std::max(1.0, cap_total_)));
     Stale();
@@ -1023,7 +1027,7 @@
   if (!hot_only) {
     const double slow = it->second.slow.Now(now_, kKeyMemory);
     const double n = k_.arrivals_slow.Now(now_, kKeyMemory);
-    share = std::max(share, settings_.nodes > kFewNodes ? slow / (8 + n) : (slow - 1) / std::max(8.0, n));
+    share = std::max(share, ManyNodes() ? slow / (8 + n) : (slow - 1) / std::max(8.0, n));
   }
   return std::clamp(share, 0.0, 1.0);
 }
