--- a/include/ryeglade/router.h
+++ b/include/ryeglade/router.h
@@ -314,6 +314,8 @@
 class Observer {
  public:
   virtual ~Observer() = default;
+  // False: OnSend is not called, and what its notes cost is not spent.
+  virtual bool wants_sends() const { return true; }
   virtual void OnSend(const SendNote& note) = 0;
   virtual void OnEnd(const EndNote& note) = 0;
   virtual void OnRest(const RestNote& note) = 0;
--- a/src/core/decisions.cpp
+++ b/src/core/decisions.cpp
@@ -46,7 +46,7 @@
 }
 
 void Decisions::OnSend(const policy::SendNote& note) {
-  if (observer_ != nullptr) observer_->OnSend(note);
+  observer_->OnSend(note);
 }
 
 void Decisions::OnEnd(const policy::EndNote& note) {
--- a/src/core/decisions.h
+++ b/src/core/decisions.h
@@ -27,6 +27,7 @@
   void CarryOut(const policy::Action& action);
 
   // Reasons: each refusal and failure is logged, and all are passed on to the observer, if there is one.
+  bool wants_sends() const override { return observer_ != nullptr && observer_->wants_sends(); }
   void OnSend(const policy::SendNote& note) override;
   void OnEnd(const policy::EndNote& note) override;
   void OnRest(const policy::RestNote& note) override;
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -573,7 +573,7 @@
 }
 
 void Router::Impl::Send(Request& r, Replica& to) {
-  if (observer_ != nullptr) NoteSend(r, to);
+  if (observer_ != nullptr && observer_->wants_sends()) NoteSend(r, to);
   Attempt a;
   a.replica = to.entry.id;
   a.zone = to.entry.zone;
