--- a/src/core/discovery.cpp
+++ b/src/core/discovery.cpp
@@ -148,7 +148,7 @@
       if (watch_ == 0) Watch(true);
     });
   }
-  if (std::string_view(why) == "connect") FirstAnswer();
+  FirstAnswer();
 }
 
 void Discovery::Dark(const char* source, const char* why) {
--- a/src/core/discovery.h
+++ b/src/core/discovery.h
@@ -28,7 +28,7 @@
   // Where lists are pushed the decision module asks for none: the watch is opened here, and opened again soon
   // whenever it ends, for as long as the node runs.
   void KeepWatch();
-  // Called once, when a first list has come from discovery or discovery has refused the connection.
+  // Called once, when a first list has come from discovery or the first call for one has failed.
   void OnFirstAnswer(std::function<void()> heard) { first_answer_ = std::move(heard); }
   void Fetch() override;
   // Another address from here on. The watch at the old one is kept until the new one has given a whole list:
