--- a/src/core/decisions.cpp
+++ b/src/core/decisions.cpp
@@ -45,9 +45,7 @@
   router_.Observe(this);
 }
 
-void Decisions::OnSend(const policy::SendNote& note) {
-  observer_->OnSend(note);
-}
+void Decisions::OnSend(const policy::SendNote& note) { observer_->OnSend(note); }
 
 void Decisions::OnEnd(const policy::EndNote& note) {
   const Stream* stream = core_->answers->Get(note.id);
