Count a start in the future from when it is heard of, and read files that go away safely

Clocks: where the wall clock was behind when a node started, a replica's startedAtMs lay in its future, and the replica counted as cold until then, for an hour if the step was one. StartTimes (pure) counts such a start from the moment it is first told. Tests: StartTimes.* (no step of a real process's clock yet).

Found by the whole Release test run: one of 428 tests failed, RolloutNodes.AKeeperKilledDuringAHandOver..., with 'basic_filebuf::underflow error reading the file: No such process'. Test: ReadIfThere.AFileThatCannotBeReadIsEmptyAndThrowsNothing (/proc/self/mem opens and fails to read).

--- a/src/base/whole_file.cpp
+++ b/src/base/whole_file.cpp
@@ -5,10 +5,22 @@
 
 #include <cerrno>
 #include <cstdio>
+#include <fstream>
 #include <string>
 
 namespace ryeglade {
 
+std::string ReadIfThere(const std::string& path) {
+  // Not by stream iterators: they throw when a read fails.
+  std::ifstream in(path, std::ios::binary);
+  std::string text;
+  char piece[4096];
+  while (in.read(piece, sizeof piece) || in.gcount() > 0) {
+    text.append(piece, static_cast<std::size_t>(in.gcount()));
+  }
+  return text;
+}
+
 FileFault ReplaceFile(const std::string& path, const std::string& text, mode_t mode) {
   // Two processes of one node may replace the same file during a hot restart.
   const std::string fresh = path + "." + std::to_string(getpid()) + ".new";
--- a/src/base/whole_file.h
+++ b/src/base/whole_file.h
@@ -12,6 +12,10 @@
   const char* what = "";  // which step failed, in words
 };
 
+// What can be read of a file; empty where it can't be read, also when it goes away while it is read, as a
+// process's files under /proc do. Waits for the disk.
+std::string ReadIfThere(const std::string& path);
+
 // Waits for the disk.
 FileFault ReplaceFile(const std::string& path, const std::string& text, mode_t mode);
 
--- a/src/core/discovery.cpp
+++ b/src/core/discovery.cpp
@@ -303,6 +303,7 @@
       continue;
     }
     e.id = IdOf(name->get<std::string>());
+    e.started_at = start_times_.Take(e.id, e.started_at, Now());
     if (e.phase == Phase::kGone) {
       left.push_back(e.id);
       told_.erase(e.id);
@@ -339,6 +340,7 @@
   core_->events->Post(std::move(told));
   for (const ReplicaId id : left) {
     if (hosts_.contains(id)) continue;
+    start_times_.Forget(id);
     core_->hosts->RemoveHost(id);
     // Guards against growth: ids are always new, and one that comes back gets the same number.
     const auto known = names_.find(id);
--- a/src/core/discovery.h
+++ b/src/core/discovery.h
@@ -15,6 +15,7 @@
 #include "base/tcp.h"
 #include "core/core.h"
 #include "core/holds_model.h"
+#include "core/start_times_model.h"
 
 namespace ryeglade {
 
@@ -103,6 +104,7 @@
   std::map<policy::ReplicaId, std::string> names_;
   std::map<policy::ReplicaId, bool> hosts_;                 // listed now
   std::map<policy::ReplicaId, policy::ReplicaEntry> told_;  // each listed host as the lists last told it
+  StartTimes start_times_;
   Holds holds_;  // what operators said, by name, since ids are reused
 };
 
--- a/src/rollout/keeper.cpp
+++ b/src/rollout/keeper.cpp
@@ -45,11 +45,6 @@
 constexpr std::size_t kMostPast = 180;   // for so many times that
 constexpr std::size_t kMostOutput = std::size_t{16} * 1024;
 
-std::string SlurpOr(const std::string& path) {
-  std::ifstream in(path, std::ios::binary);
-  return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
-}
-
 // When a process started, in the kernel's ticks; 0: there is none, or it has ended and waits to be reaped.
 std::uint64_t TicksOf(std::int64_t pid) {
   std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
@@ -264,10 +259,10 @@
   void EndStrangers(const KeeperMemory& m) {
     for (const auto& entry : std::filesystem::directory_iterator(options_.directory + "/tmp")) {
       if (entry.path().filename().string().find("-lease-") == std::string::npos) continue;
-      const auto lease = handover::DecodeLease(SlurpOr(entry.path().string()));
+      const auto lease = handover::DecodeLease(ReadIfThere(entry.path().string()));
       if (!lease) continue;
       const bool known = lease->pid == m.current.pid || lease->pid == m.next.pid || lease->pid == m.old.pid;
-      const std::string command = SlurpOr("/proc/" + std::to_string(lease->pid) + "/cmdline");
+      const std::string command = ReadIfThere("/proc/" + std::to_string(lease->pid) + "/cmdline");
       if (known || command.find(std::string("\0serve\0", 7)) == std::string::npos ||
           command.find(m.in_force.config) == std::string::npos)
         continue;
--- a/tests/node_parts_test.cpp
+++ b/tests/node_parts_test.cpp
@@ -5,6 +5,8 @@
 
 #include "app/termination_policy.h"
 #include "base/socket_error_model.h"
+#include "base/whole_file.h"
+#include "core/start_times_model.h"
 
 namespace ryeglade {
 namespace {
@@ -55,5 +57,39 @@
   }
 }
 
+TEST(ReadIfThere, AFileThatCannotBeReadIsEmptyAndThrowsNothing) {
+  EXPECT_EQ(ReadIfThere("/proc/self/mem"), "");  // it opens, and reading its beginning fails
+  EXPECT_EQ(ReadIfThere("/nowhere/at/all"), "");
+  EXPECT_NE(ReadIfThere("/proc/self/stat"), "");
+}
+
+constexpr Time kHour = 3'600'000'000;
+constexpr Time kNow = 1'000 * kHour;
+
+TEST(StartTimes, AStartInThePastIsTakenAsTold) {
+  StartTimes starts;
+  EXPECT_EQ(starts.Take(1, 0, kNow), 0);
+  EXPECT_EQ(starts.Take(1, kNow - 5'000'000, kNow), kNow - 5'000'000);
+  EXPECT_EQ(starts.size(), 0u);
+}
+
+// The clock was an hour behind when this node started: without this each replica that started within the last
+// hour would count as cold for up to an hour.
+TEST(StartTimes, AStartInTheFutureCountsFromWhenItWasHeardOf) {
+  StartTimes starts;
+  const Time told = kNow + kHour - 20'000'000;
+  EXPECT_EQ(starts.Take(1, told, kNow), kNow);
+  EXPECT_EQ(starts.Take(1, told, kNow + 9'000'000), kNow);  // told again it has not started again
+  EXPECT_EQ(starts.Take(1, told, told + 1), kNow);          // nor once the clock has come that far
+  EXPECT_EQ(starts.Take(1, told + 30'000'000, kNow + 30'000'000), kNow + 30'000'000);  // now it has
+}
+
+TEST(StartTimes, KeepsNothingOfReplicasThatAreGone) {
+  StartTimes starts;
+  for (policy::ReplicaId id = 0; id < 100; ++id) starts.Take(id, kNow + kHour, kNow);
+  for (policy::ReplicaId id = 0; id < 100; ++id) starts.Forget(id);
+  EXPECT_EQ(starts.size(), 0u);
+}
+
 }  // namespace
 }  // namespace ryeglade
