--- a/src/app/termination_policy.h
+++ b/src/app/termination_policy.h
@@ -9,12 +9,11 @@
 
 // Times from SIGTERM on, in microseconds.
 struct TerminationPlan {
-  policy::Time take_until = 0;  // a request that comes later is refused at once
-  policy::Time close_idle = 0;  // from here on connections without a request are closed
-  policy::Time listen_until =
-      0;                       // until then new connections are taken, whether or not anything is left to do
-  policy::Time answer_by = 0;  // what has not begun by then is refused
-  policy::Time killed_from = 0;  // SIGKILL comes no sooner
+  policy::Time take_until = 0;    // a request that comes later is refused at once
+  policy::Time close_idle = 0;    // from here on connections without a request are closed
+  policy::Time listen_until = 0;  // until then new connections are taken, even if nothing is left to do
+  policy::Time answer_by = 0;     // what has not begun by then is refused
+  policy::Time killed_from = 0;   // SIGKILL comes no sooner
 };
 
 // `classes` are those in force. SIGKILL comes as early as the longest deadline, counted as 3 s where it is
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -20,7 +20,11 @@
 
 Handle Streams::Open(StreamRequest request, StreamSink* sink, Handle client) {
   const Time now = Now();
+  const auto& classes = core_->config->settings.classes;
+  const auto cls = static_cast<std::size_t>(request.arrival.cls);
+  const std::string class_name = cls < classes.size() ? classes[cls].name : "";
   if (end_by_ != 0 && now >= take_until_) {
+    if (core_->tally != nullptr) ++core_->tally->by_class[class_name].busy;
     sink->OnRefused(client, kGuardRetryAfter);
     return 0;
   }
@@ -30,9 +34,7 @@
   Stream stream{std::move(request)};
   stream.sink = sink;
   stream.client = client;
-  const auto& classes = core_->config->settings.classes;
-  const auto cls = static_cast<std::size_t>(stream.request.arrival.cls);
-  if (cls < classes.size()) stream.class_name = classes[cls].name;
+  stream.class_name = class_name;
   const Handle handle = table_.Add(std::move(stream));
   Stream& s = *table_.Get(handle);
   s.request.arrival.id = handle;
