Log what was known of a request that the node answered itself, and count why things ended

Change: request-ended for each refusal and failure (attempts, those written whole, last replica and outcome, age, time left); draining tells its plan in ms, a second SIGTERM is said, stopped tells how long the end took; counters by outcome, reason and close reason; the words of outcomes and reasons stand once (core/words, were in three places). No decision changes.

--- a/src/admin/counters.cpp
+++ b/src/admin/counters.cpp
@@ -3,6 +3,7 @@
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
 
+#include <map>
 #include <utility>
 
 #include "base/metric_family.h"
@@ -17,6 +18,10 @@
   AddSample(family, tier.empty() ? MetricLabels{} : MetricLabels{{"tier", tier}}, value);
 }
 
+void AddRows(MetricFamily& family, const char* label, const std::map<std::string, std::uint64_t>& rows) {
+  for (const auto& [name, n] : rows) AddSample(family, {{label, name}}, static_cast<double>(n));
+}
+
 }  // namespace
 
 std::string CountersText(const CounterView& view) {
@@ -45,8 +50,22 @@
   MetricFamily failed =
       Family("node_reconfig_failed", "Settings files turned down at SIGHUP", MetricType::Counter);
   Add(failed, static_cast<double>(view.tally->reconfig_failed));
+  MetricFamily ended = Family("node_attempts_ended", "Attempts that ended, by outcome", MetricType::Counter);
+  AddRows(ended, "outcome", view.tally->attempts_ended);
+  MetricFamily given_up = Family(
+      "node_given_up", "Requests refused or failed by the decision module, by reason", MetricType::Counter);
+  AddRows(given_up, "why", view.tally->given_up);
+  MetricFamily guard =
+      Family("node_guard_replies", "Requests that the decision module had not answered in time",
+             MetricType::Counter);
+  Add(guard, static_cast<double>(view.tally->guard_replies));
+  MetricFamily closed = Family("node_connections_closed",
+                               "Connections of clients that were closed, by reason", MetricType::Counter);
+  for (std::size_t n = 0; n < view.closed.size(); ++n) {
+    AddSample(closed, {{"why", Word(static_cast<CloseReason>(n))}}, static_cast<double>(view.closed[n]));
+  }
   return prometheus::TextSerializer().Serialize(
-      {success, busy, failure, calls, inflight, listed, down, ok, failed});
+      {success, busy, failure, calls, inflight, listed, down, ok, failed, ended, given_up, guard, closed});
 }
 
 }  // namespace ryeglade
--- a/src/admin/counters.h
+++ b/src/admin/counters.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/tally.h"
+#include "http/close_reason.h"
 
 namespace ryeglade {
 
@@ -14,6 +15,7 @@
   std::vector<std::string> classes;  // in force now; each has a line even before its first request
   std::uint64_t inflight = 0;        // requests taken and not yet ended
   std::uint64_t hosts_listed = 0, hosts_down = 0;
+  CloseCounts closed{};  // clients' connections, by reason
 };
 
 std::string CountersText(const CounterView& view);
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -155,7 +155,7 @@
            {"unusual", flight_->unusual()},
            {"failures", flight_->failures()}});
     }
-    Log(Level::kInfo, "stopped");
+    Log(Level::kInfo, "stopped", {{"after_ms", drain_began_ == 0 ? 0 : (Now() - drain_began_) / 1000}});
   }
 
   // The hand-over's side: see handover/succession_policy.h for when each comes.
@@ -396,8 +396,10 @@
   }
 
   void Drain() {
-    if (drain_began_ != 0) return;
-    Log(Level::kInfo, "draining", {{"streams", streams_.size()}, {"clients", clients()}});
+    if (drain_began_ != 0) {
+      Log(Level::kInfo, "draining-already", {{"for_ms", (Now() - drain_began_) / 1000}});
+      return;
+    }
     drain_began_ = Now();
     if (membership_ != nullptr) membership_->Leave();  // told to all before the listener closes
     hand_over_.Term();
@@ -406,6 +408,12 @@
     std::vector<policy::ClassSettings> in_force;
     for (const std::size_t i : config_.in_force) in_force.push_back(config_.settings.classes[i]);
     termination_ = PlanTermination(in_force);
+    Log(Level::kInfo, "draining",
+        {{"streams", streams_.size()},
+         {"clients", clients()},
+         {"take_ms", termination_.take_until / 1000},
+         {"answer_ms", termination_.answer_by / 1000},
+         {"kill_ms", termination_.killed_from / 1000}});
     streams_.EndBy(drain_began_ + termination_.answer_by, drain_began_ + termination_.take_until);
     Tick();
   }
@@ -459,6 +467,7 @@
     for (const std::size_t i : config_.in_force) view.classes.push_back(config_.settings.classes[i].name);
     view.inflight = streams_.size();
     view.hosts_listed = discovery_.listed();
+    view.closed = downstream_.closed();
     for (const auto& [id, yes] : discovery_.hosts()) {
       if (discovery_.avoided(id) || decisions_.router().rests_until(id) > Now()) ++view.hosts_down;
     }
--- a/src/app/timeline_command.cpp
+++ b/src/app/timeline_command.cpp
@@ -18,6 +18,7 @@
 
 #include "base/gnuplot.h"
 #include "base/whole_file.h"
+#include "core/words.h"
 #include "timeline/export_model.h"
 #include "timeline/flight_model.h"
 #include "timeline/lane_model.h"
@@ -94,7 +95,7 @@
   for (const LaneRest& r : lane.rests) {
     lines.emplace_back(
         r.from, fmt::format("gets nothing new for {:.0f} ms: {}, {} failures in a row",
-                            static_cast<double>(r.until - r.from) / 1000, Name(r.outcome), r.failures));
+                            static_cast<double>(r.until - r.from) / 1000, Word(r.outcome), r.failures));
   }
   for (const LaneMark& m : lane.marks) lines.emplace_back(m.at, m.text);
   for (const LaneMark& m : lanes.marks()) lines.emplace_back(m.at, "(node) " + m.text);
@@ -162,7 +163,7 @@
   std::string whys;
   for (std::size_t w = 0; w < lanes.whys().size(); ++w) {
     if (lanes.whys()[w] > 0)
-      whys += fmt::format(" {}={}", Name(static_cast<policy::Why>(w)), lanes.whys()[w]);
+      whys += fmt::format(" {}={}", Word(static_cast<policy::Why>(w)), lanes.whys()[w]);
   }
   if (!whys.empty()) Say("refusals and failures by reason:" + whys + "\n");
   if (lanes.lanes_left_out() > 0) Say("more replicas than lanes: some are left out\n");
--- a/src/core/decisions.cpp
+++ b/src/core/decisions.cpp
@@ -5,6 +5,7 @@
 
 #include "base/log.h"
 #include "core/streams.h"
+#include "core/words.h"
 
 namespace ryeglade {
 namespace {
@@ -16,28 +17,6 @@
 template <class... Ts>
 Overloaded(Ts...) -> Overloaded<Ts...>;
 
-const char* Name(policy::Why why) {
-  switch (why) {
-    case policy::Why::kNoPatience:
-      return "no-patience";
-    case policy::Why::kHeldTooLong:
-      return "held-too-long";
-    case policy::Why::kNoTimeLeft:
-      return "no-time-left";
-    case policy::Why::kAttemptsSpent:
-      return "attempts-spent";
-    case policy::Why::kMayHaveRun:
-      return "may-have-run";
-    case policy::Why::kRetriesSpent:
-      return "retries-spent";
-    case policy::Why::kStreamBroken:
-      return "stream-broken";
-    case policy::Why::kCount:
-      break;
-  }
-  return "unknown";
-}
-
 }  // namespace
 
 Decisions::Decisions(Core* core)
@@ -49,9 +28,10 @@
 
 void Decisions::OnEnd(const policy::EndNote& note) {
   const Stream* stream = core_->answers->Get(note.id);
+  if (core_->tally != nullptr) ++core_->tally->given_up[Word(note.why)];
   Log(Level::kInfo, "request-given-up",
       {{"id", stream != nullptr ? stream->request.call_id.c_str() : "-"},
-       {"why", Name(note.why)},
+       {"why", Word(note.why)},
        {"attempts", note.attempts},
        {"held_ms", note.held / 1000},
        {"queue", note.queue},
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "core/words.h"
 
 namespace ryeglade {
 namespace {
@@ -92,7 +93,9 @@
 void Streams::Guard(Handle handle) {
   const Stream* s = table_.Get(handle);
   if (s == nullptr || s->started) return;
-  Log(Level::kError, "guard-reply", {{"id", s->request.call_id}});
+  Log(Level::kError, "guard-reply",
+      {{"id", s->request.call_id}, {"out", s->upstream_request != 0}, {"written", s->written}});
+  if (core_->tally != nullptr) ++core_->tally->guard_replies;
   core_->events->Post(policy::ClientGone{handle});  // to the module it is over
   Refuse(handle, kGuardRetryAfter);
 }
@@ -179,10 +182,29 @@
   Broken(handle);
 }
 
+// What the node knew of a request's attempts when it answered by itself: enough to tell whether a refusal was
+// true.
+void Streams::LogEnd(const Stream& s, Ended how) const {
+  const Time now = Now();
+  Log(Level::kInfo, "request-ended",
+      {{"id", s.request.call_id},
+       {"how", how == Ended::kRefused ? "refused" : "failed"},
+       {"class", s.class_name},
+       {"attempts", s.attempts},
+       {"written", s.written},
+       {"out", s.upstream_request != 0},
+       {"started", s.started},
+       {"last", s.last_replica == 0 ? "-" : Hex8(s.last_replica)},
+       {"outcome", s.last_replica == 0 ? "-" : Word(s.last_outcome)},
+       {"age_ms", (now - s.request.sent_at) / 1000},
+       {"left_ms", (s.deadline - now) / 1000}});
+}
+
 // Guards against an upstream request that outlives its stream: nobody would ever read its answer.
 StreamSink* Streams::End(Handle handle, Handle* client, Ended how) {
   Stream* s = table_.Get(handle);
   if (s == nullptr) return nullptr;
+  if (how == Ended::kRefused || how == Ended::kFailed) LogEnd(*s, how);
   if (how != Ended::kGone && core_->tally != nullptr) {
     Tally::Ends& ends = core_->tally->by_class[s->class_name];
     ++(how == Ended::kServed ? ends.success : how == Ended::kRefused ? ends.busy : ends.failure);
--- a/src/core/streams.h
+++ b/src/core/streams.h
@@ -43,7 +43,9 @@
   bool started = false;
   bool in_time = false;                                    // its first event came within its aim
   policy::Outcome last_outcome = policy::Outcome::kError;  // of its attempts
-  Time stay_away = 0;                                      // the longest that a host told
+  policy::ReplicaId last_replica = 0;                      // that an attempt ended at; 0: none has
+  int written = 0;     // attempts that were handed whole to a socket, so that they may have run
+  Time stay_away = 0;  // the longest that a host told
   DeadlineId guard{};
   std::string class_name{};  // as it came: the class may be gone from the settings before it ends
 };
@@ -84,6 +86,7 @@
   void MoveOn();
   void Bound(Stream& stream, Handle handle, Time deadline);
   enum class Ended : unsigned char { kServed, kRefused, kFailed, kGone };
+  void LogEnd(const Stream& stream, Ended how) const;
   // Frees the slot and counts how it ended; null: it was free already.
   StreamSink* End(Handle stream, Handle* client, Ended how);
 
--- a/src/core/tally.h
+++ b/src/core/tally.h
@@ -20,6 +20,9 @@
   std::map<std::string, Ends> by_class;  // by the name that the request came with
   std::uint64_t backend_calls = 0;       // attempts written whole to upstream hosts
   std::uint64_t reconfig_ok = 0, reconfig_failed = 0;
+  std::map<std::string, std::uint64_t> attempts_ended;  // by outcome, in the words of core/words.h
+  std::map<std::string, std::uint64_t> given_up;        // requests refused or failed, by the module's reason
+  std::uint64_t guard_replies = 0;                      // requests that the module had not answered in time
 };
 
 }  // namespace ryeglade
--- a/src/core/upstream.cpp
+++ b/src/core/upstream.cpp
@@ -15,6 +15,7 @@
 #include "base/log.h"
 #include "base/socket_error_model.h"
 #include "core/streams.h"
+#include "core/words.h"
 
 namespace ryeglade {
 namespace {
@@ -31,28 +32,6 @@
 constexpr Time kConnectAgain = 20'000;  // after a connection that this machine could not open
 constexpr std::uint64_t kMostChunk = std::uint64_t{256} * 1024;
 
-const char* Name(Outcome o) {
-  switch (o) {
-    case Outcome::kServed:
-      return "served";
-    case Outcome::kError:
-      return "error";
-    case Outcome::kFull:
-      return "full";
-    case Outcome::kTimeout:
-      return "timeout";
-    case Outcome::kConnectFailed:
-      return "connect-failed";
-    case Outcome::kReset:
-      return "reset";
-    case Outcome::kCancelled:
-      return "cancelled";
-    case Outcome::kNotSent:
-      return "not-sent";
-  }
-  return "?";
-}
-
 // The parser as Debian builds it passes over whatever stands where a chunk's line end should be, so that a
 // chunk that is longer than it says would go on as another. False: something else stands there.
 bool TakeLineEnd(std::string_view& wanted, const char* at, const char* end) {
@@ -270,9 +249,10 @@
   const std::string& host_port =
       hosts_.contains(c.host) ? hosts_.at(c.host).host_port : std::string("replica");
   bool ok = false;
-  if (const Stream* s = core_->answers->Get(r.stream)) {
+  if (Stream* s = core_->answers->Get(r.stream)) {
     ok = c.tcp->Write(core_->dialect->RequestHead(s->request, host_port, s->deadline - Now()));
     for (const std::string_view piece : s->request.body.Pieces()) ok = ok && c.tcp->Write(piece);
+    if (ok) ++s->written;
     if (ok && core_->tally != nullptr) ++core_->tally->backend_calls;
   } else if (r.stream == 0) {
     ok = c.tcp->Write(core_->dialect->ProbeHead(host_port));
@@ -516,6 +496,7 @@
     core_->events->Post(policy::ProbeAnswered{r.replica, outcome, ended.elapsed, ended.load});
     return;
   }
+  if (core_->tally != nullptr) ++core_->tally->attempts_ended[Word(outcome)];
   Stream* s = core_->answers->Get(r.stream);
   ended.request_concluded = s == nullptr || r.started || rejecting_ || outcome == Outcome::kServed;
   if (outcome != Outcome::kServed && outcome != Outcome::kCancelled) {
@@ -523,13 +504,14 @@
         {{"id", s != nullptr ? s->request.call_id.c_str() : "-"},
          {"n", r.attempt},
          {"replica", Hex8(r.replica)},
-         {"outcome", Name(outcome)},
+         {"outcome", Word(outcome)},
          {"started", r.started ? 1 : 0},
          {"ms", ended.elapsed / 1000}});
   }
   if (s != nullptr) {
     s->upstream_request = 0;
     s->last_outcome = outcome;
+    s->last_replica = r.replica;
   }
   if (outcome == Outcome::kServed) {
     core_->answers->Whole(r.stream);
--- /dev/null
+++ b/src/core/words.h
@@ -0,0 +1,12 @@
+// The words by which log lines, counters and flight records name what the decision module and the upstream
+// side say. They are part of the log's interface (docs/on-call.md): a word never changes its meaning.
+#pragma once
+
+#include "ryeglade/router.h"
+
+namespace ryeglade {
+
+const char* Word(policy::Outcome outcome);
+const char* Word(policy::Why why);
+
+}  // namespace ryeglade
--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -120,7 +120,7 @@
       best = at;
     }
   }
-  if (first != 0) Drop(first);
+  if (first != 0) Drop(first, CloseReason::kMadeRoom);
   return first != 0;
 }
 
@@ -132,7 +132,7 @@
   c.deadline = core_->deadlines->Set(at, [this, handle] {
     Client* slow = clients_.Get(handle);
     if (slow == nullptr) return;
-    if (slow->state == State::kIdle) return Drop(handle);
+    if (slow->state == State::kIdle) return Drop(handle, CloseReason::kSilent);
     if (slow->state != State::kReading) return;
     slow->state = State::kAnswering;
     slow->keep_alive = false;
@@ -185,39 +185,41 @@
   c.surplus = surplus;
   http_parser_init(&c.parser, HTTP_REQUEST);
   c.idle_since = last_arrival_ = Now();
-  if (!c.tcp->Open(fd)) return Drop(handle);
+  if (!c.tcp->Open(fd)) return Drop(handle, CloseReason::kWriteFailed);
   if (options_.admits && !options_.admits(c.tcp->Peer())) {
     Log(Level::kWarn, "client-not-admitted");
-    return Drop(handle);
+    return Drop(handle, CloseReason::kNotAdmitted);
   }
   Expire(handle, Now() + options_.read_within);
   c.tcp->Read();
 }
 
-void Downstream::Drop(Handle handle) {
+void Downstream::Drop(Handle handle, CloseReason why) {
   Client* c = clients_.Get(handle);
   if (c == nullptr) return;
+  ++closed_[static_cast<std::size_t>(why)];
+  Log(Level::kDebug, "client-closed", {{"why", Word(why)}, {"used", c->used}, {"unsent", c->tcp->unsent()}});
   core_->deadlines->Cancel(c->deadline);
   c->tcp->Close();
   clients_.Remove(handle);
 }
 
 // The client left or its connection broke. Told to the front if an answer is owed.
-void Downstream::Lost(Handle handle) {
+void Downstream::Lost(Handle handle, CloseReason why) {
   const Client* c = clients_.Get(handle);
   if (c == nullptr) return;
   const bool owed = c->state == State::kAnswering;
-  Drop(handle);
+  Drop(handle, why);
   if (owed) front_->OnGone(handle);
 }
 
-void Downstream::OnEnded(Handle handle) { Lost(handle); }
+void Downstream::OnEnded(Handle handle) { Lost(handle, CloseReason::kClientEnded); }
 
 void Downstream::Drain() { draining_ = true; }
 
 void Downstream::CloseIdle() {
   for (const Handle handle : clients_.All()) {
-    if (Idle(*clients_.Get(handle))) Drop(handle);
+    if (Idle(*clients_.Get(handle))) Drop(handle, CloseReason::kIdle);
   }
 }
 
@@ -260,7 +262,7 @@
 void Downstream::Close() {
   yielded_ = false;
   StopListening();
-  for (const Handle handle : clients_.All()) Drop(handle);
+  for (const Handle handle : clients_.All()) Drop(handle, CloseReason::kProcessEnds);
 }
 
 // ---- Requests ----
@@ -340,7 +342,7 @@
   core_->deadlines->Set(Now() + kLookForEndEvery, [this, handle] {
     const Client* c = clients_.Get(handle);
     if (c == nullptr || c->state != State::kAnswering || c->ahead.size() <= kMostAhead) return;
-    c->tcp->PeerClosed() ? Lost(handle) : WatchPaused(handle);
+    c->tcp->PeerClosed() ? Lost(handle, CloseReason::kClientEnded) : WatchPaused(handle);
   });
 }
 
@@ -400,7 +402,7 @@
   const std::string head = "HTTP/1.1 " + std::to_string(status) + " " + Reason(status) + "\r\n" + headers +
                            (c->keep_alive ? "" : "Connection: close\r\n") +
                            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-  if (!c->tcp->Write({head, body})) return Drop(handle);
+  if (!c->tcp->Write({head, body})) return Drop(handle, CloseReason::kWriteFailed);
   Done(handle);
 }
 
@@ -432,14 +434,14 @@
 void Downstream::Sent(Handle handle, bool written) {
   Client& c = *clients_.Get(handle);
   if (!written) {
-    core_->deadlines->Set(Now(), [this, handle] { Lost(handle); });
+    core_->deadlines->Set(Now(), [this, handle] { Lost(handle, CloseReason::kWriteFailed); });
     return;
   }
   if (c.congested || c.tcp->unsent() < kCongested) return;
   c.congested = true;
   c.deadline = core_->deadlines->Set(Now() + kDrainWithin, [this, handle] {
     Log(Level::kWarn, "client-stuck");
-    Lost(handle);
+    Lost(handle, CloseReason::kClientStuck);
   });
   front_->OnFlow(handle, true);
 }
@@ -457,11 +459,11 @@
 void Downstream::EndChunks(Handle handle) {
   Client* c = clients_.Get(handle);
   if (c == nullptr || c->state != State::kAnswering) return;
-  if (!c->tcp->Write("0\r\n\r\n")) return Drop(handle);
+  if (!c->tcp->Write("0\r\n\r\n")) return Drop(handle, CloseReason::kWriteFailed);
   Done(handle);
 }
 
-void Downstream::Abort(Handle handle) { Drop(handle); }
+void Downstream::Abort(Handle handle) { Drop(handle, CloseReason::kAborted); }
 
 void Downstream::EndBroken(Handle handle) {
   Client* c = clients_.Get(handle);
@@ -483,7 +485,7 @@
   Client& c = *clients_.Get(handle);
   core_->deadlines->Cancel(c.deadline);
   c.deadline = core_->deadlines->Set(Now() + (c.tcp->unsent() > 0 ? kDrainWithin : kLinger),
-                                     [this, handle] { Drop(handle); });
+                                     [this, handle] { Drop(handle, CloseReason::kAnswered); });
 }
 
 // The answer is given. The connection goes on, or ends in an orderly way: closing a socket with bytes unread
--- a/src/http/downstream.h
+++ b/src/http/downstream.h
@@ -14,6 +14,7 @@
 #include "base/runtime.h"
 #include "base/slots.h"
 #include "base/tcp.h"
+#include "http/close_reason.h"
 
 namespace ryeglade {
 
@@ -75,6 +76,7 @@
   bool draining() const { return draining_; }
   std::size_t size() const { return clients_.size(); }
   Time last_arrival() const { return last_arrival_; }
+  const CloseCounts& closed() const { return closed_; }  // connections closed so far, by reason
 
   void OnRead(Handle connection, std::string_view bytes) override;
   void OnEnded(Handle connection) override;
@@ -118,8 +120,8 @@
   void Error(Handle connection, int status);
   void Done(Handle connection);
   void Linger(Handle connection);
-  void Drop(Handle connection);
-  void Lost(Handle connection);
+  void Drop(Handle connection, CloseReason why);
+  void Lost(Handle connection, CloseReason why);
   void Sent(Handle connection, bool written);
   static const http_parser_settings& Callbacks();
 
@@ -132,6 +134,7 @@
   bool draining_ = false;
   bool yielded_ = false;
   Time last_arrival_ = 0;
+  CloseCounts closed_{};
   Slots<Client> clients_;
 };
 
--- a/src/timeline/export_model.cpp
+++ b/src/timeline/export_model.cpp
@@ -2,6 +2,8 @@
 
 #include <limits>
 
+#include "core/words.h"
+
 namespace ryeglade::timeline {
 namespace {
 
@@ -49,7 +51,7 @@
     for (const LaneSpan& s : lane.spans)
       states.Add(title, ms(s.from), ms(s.to), Name(s.state), Name(s.known), s.why);
     for (const LaneRest& r : lane.rests)
-      rests.Add(title, ms(r.from), ms(r.until), Name(r.outcome), r.failures);
+      rests.Add(title, ms(r.from), ms(r.until), Word(r.outcome), r.failures);
     for (const LaneMark& m : lane.marks) marks.Add(ms(m.at), title, m.text);
   }
   Rows fleet("fleet", {{"start_ms", Wholes{}},
--- a/src/timeline/flight_model.cpp
+++ b/src/timeline/flight_model.cpp
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "core/learned_model.h"
+#include "core/words.h"
 
 namespace ryeglade::timeline {
 namespace {
@@ -414,13 +415,13 @@
   }
   std::string operator()(const AttemptEnded& e) const {
     return fmt::format("ended {:x}.{} at {:08x} {} after {:.1f} ms kept {:g} load {}{}", e.id, e.attempt,
-                       e.replica, Name(e.outcome), Ms(e.elapsed), e.kept_tokens, Loads(e.load),
+                       e.replica, Word(e.outcome), Ms(e.elapsed), e.kept_tokens, Loads(e.load),
                        e.request_concluded ? " concluded" : "");
   }
   std::string operator()(const ClientGone& e) const { return fmt::format("client gone {:x}", e.id); }
   std::string operator()(const TimerFired& e) const { return fmt::format("timer {}", e.token); }
   std::string operator()(const ProbeAnswered& e) const {
-    return fmt::format("probe of {:08x} {} after {:.1f} ms load {}", e.replica, Name(e.outcome),
+    return fmt::format("probe of {:08x} {} after {:.1f} ms load {}", e.replica, Word(e.outcome),
                        Ms(e.elapsed), Loads(e.load));
   }
   std::string operator()(const TierSize& e) const { return fmt::format("tier of {} nodes", e.nodes); }
@@ -466,11 +467,11 @@
   }
   std::string operator()(const EndNote& n) const {
     return fmt::format("{:x} ended: {}; {} attempts, {:.0f} ms after it came, {} held, {} of {:.1f} in use",
-                       n.id, Name(n.why), n.attempts, Ms(n.held), n.queue, n.in_flight, n.cap_total);
+                       n.id, Word(n.why), n.attempts, Ms(n.held), n.queue, n.in_flight, n.cap_total);
   }
   std::string operator()(const RestNote& n) const {
     return fmt::format("{:08x} rests until {}: {}, {} failures in a row", n.replica, n.until / 1000,
-                       Name(n.outcome), n.failures);
+                       Word(n.outcome), n.failures);
   }
 };
 
@@ -549,21 +550,6 @@
       record);
 }
 
-const char* Name(Outcome o) {
-  static constexpr const char* kNames[] = {"served",         "error", "full",      "timeout",
-                                           "connect-failed", "reset", "cancelled", "not-sent"};
-  const auto n = static_cast<std::size_t>(o);
-  return n < std::size(kNames) ? kNames[n] : "?";
-}
-
-const char* Name(Why why) {
-  static constexpr const char* kNames[] = {"no-patience",  "held-too-long", "no-time-left", "attempts-spent",
-                                           "may-have-run", "retries-spent", "stream-broken"};
-  static_assert(std::size(kNames) == static_cast<std::size_t>(Why::kCount));
-  const auto n = static_cast<std::size_t>(why);
-  return n < std::size(kNames) ? kNames[n] : "?";
-}
-
 const char* Name(UnusualKind kind) {
   static constexpr const char* kNames[] = {"errors", "first-token", "load",          "refusals",
                                            "share",  "roster-dark", "roster-behind", "roster-contradicted"};
@@ -639,7 +625,7 @@
         "attempts",
         b->first / 1000, b->last / 1000, b->decisions, b->arrived, b->sent, b->refused, b->failed);
     for (std::size_t n = 0; n < b->outcomes.size(); ++n) {
-      if (b->outcomes[n] > 0) out += fmt::format(" {}={}", Name(static_cast<Outcome>(n)), b->outcomes[n]);
+      if (b->outcomes[n] > 0) out += fmt::format(" {}={}", Word(static_cast<Outcome>(n)), b->outcomes[n]);
     }
     for (const BurstReplica& r : b->replicas) out += fmt::format(" {:08x}:{}/{}", r.id, r.failed, r.sent);
     return out;
--- a/src/timeline/flight_model.h
+++ b/src/timeline/flight_model.h
@@ -127,8 +127,6 @@
 // When it was; 0: it does not say (a gap).
 Time TimeOf(const Record& record);
 const char* Name(UnusualKind kind);
-const char* Name(policy::Why why);
-const char* Name(policy::Outcome outcome);
 
 // Appends the record's bytes.
 void EncodeAny(const Record& record, std::string& out);
--- a/src/timeline/story_model.cpp
+++ b/src/timeline/story_model.cpp
@@ -4,6 +4,8 @@
 
 #include <charconv>
 
+#include "core/words.h"
+
 namespace ryeglade::timeline {
 namespace {
 
@@ -96,7 +98,7 @@
     if (const auto* end = std::get_if<policy::EndNote>(&n->what);
         end != nullptr && arrived_.contains(end->id)) {
       Say(n->now, fmt::format("  why: {}; {} attempts, {} requests held here, {} of {:.1f} in use",
-                              Name(end->why), end->attempts, end->queue, end->in_flight, end->cap_total));
+                              Word(end->why), end->attempts, end->queue, end->in_flight, end->cap_total));
     }
     return;
   }
@@ -121,7 +123,7 @@
     Say(d->now, fmt::format("first token from {} after {:.1f} ms", Who(s->replica), Ms(s->elapsed)));
   } else if (const auto* e = std::get_if<policy::AttemptEnded>(&d->event); e != nullptr && Mine(e->id)) {
     Say(d->now, fmt::format("attempt {} at {} ends: {} after {:.1f} ms; {}", e->attempt, Who(e->replica),
-                            Name(e->outcome), Ms(e->elapsed), State(e->replica, d->now)));
+                            Word(e->outcome), Ms(e->elapsed), State(e->replica, d->now)));
     if (e->outcome == policy::Outcome::kServed) {
       Say(d->now, fmt::format("served, {:.1f} ms after it came", Ms(d->now - arrived_[e->id])));
       mine_.erase(e->id);
