--- a/tests/peers.h
+++ b/tests/peers.h
@@ -180,7 +180,7 @@
                  {"stats", {{"how", "probe"}, {"fields", {"qps", "queue", "x0"}}}},
                  {"limits", {{"max-attempts", 3}, {"idle-close", 5000000}, {"connect-timeout", 2000000}}},
                  {"obligations", {{"ask-within", 500000}}}}}};
-    if (extra.is_object()) config_.update(extra);
+    if (extra.is_object()) config_.merge_patch(extra);  // arrays are replaced whole
     // Each node its own $TMPDIR, unless a story gives two processes of one node the same.
     if (config_.contains("_tmpdir")) {
       tmpdir_ = config_["_tmpdir"].get<std::string>();
