Let the decision module answer when time is up: no refusal for what may have run

Cause: Streams::Guard (src/core/streams.cpp) answered 503 by itself, whatever the request's attempts had done: before SIGKILL for all that had not begun (EndBy), and 8 ms before a client's deadline where the attempt's own time-out came later (clients with under 32 ms left). Class of mistake: an answer given beside the one place that knows the attempts' outcomes. Ruled out by the log of the reproduction: the module's own rule (no request-given-up), outcomes that wrongly claim 'never ran' (the attempt was out, written=1). Change: new event PatienceCut tells the module that the time is shorter or up; the attempt that is out ends as what it is (time-out, reset, or never written), and the module concludes by effect and scope. A guard that still has to answer promises nothing (502). Router::may_refuse is the one answer to 'may a repeat be invited'. The same mistake in related code, decided once and carried out later: an attempt whose connection comes up late was written although meanwhile its replica drained, its repeat window had passed, its client had gone or its time was up. Now checked as the bytes are written (Upstream::MayWrite, Withhold; SendAttempt::write_within from the module). Flight records: format 7 (PatienceCut, write_within); older ones are still read.

--- a/include/ryeglade/router.h
+++ b/include/ryeglade/router.h
@@ -218,14 +218,26 @@
   std::vector<std::pair<std::uint64_t, double>> shares;
 };
 
+// An open request has to be answered sooner than its client's patience asks for: within `patience` of this
+// event, because the process ends before then, or at once (0). More than is left is ignored, and so is a
+// request whose stream has begun.
+struct PatienceCut {
+  RequestId id = 0;
+  Time patience = 0;
+};
+
 using Event = std::variant<ReplicaList, RequestArrived, AnswerStarted, AttemptEnded, ClientGone, TimerFired,
-                           ProbeAnswered, TierSize, Inherited, OutBeside, TierShare, TierEvidence, TierKeys>;
+                           ProbeAnswered, TierSize, Inherited, OutBeside, TierShare, TierEvidence, TierKeys,
+                           PatienceCut>;
 
 // Actions, to be carried out in the order appended.
 struct SendAttempt {  // attempts of a request count from 0 in the order sent
   RequestId id = 0;
   ReplicaId replica = 0;
   Time timeout = 0;  // 0: until the client gives up
+  // Its first byte may be written no later than this after the action: beyond it a repeat is no longer known
+  // to be dropped. 0: any time. What comes too late is not sent and ends as kNotSent.
+  Time write_within = 0;
 };
 struct CancelAttempt {
   RequestId id = 0;
@@ -350,6 +362,10 @@
   // After failures it gets nothing new before then; 0: never.
   Time rests_until(ReplicaId replica) const { return seen(replica).blocked_until; }
   double cap_total() const;
+  // Whether a client may be told now that repeating this request is harmless: by its class's effect and
+  // scope, or because every attempt provably never ran. One that is out counts as run; false for an unknown
+  // request.
+  bool may_refuse(RequestId id) const;
 
  private:
   class Impl;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -23,6 +23,7 @@
   StreamTap* stream_tap = nullptr;          // null: nobody listens, at no cost
   MembershipTap* membership_tap = nullptr;  // the same
   Tally* tally = nullptr;                   // what was done, for the counters; never null once put together
+  const RepeatPort* repeats = nullptr;
 };
 
 }  // namespace ryeglade
--- a/src/core/decisions.cpp
+++ b/src/core/decisions.cpp
@@ -67,21 +67,21 @@
 
 void Decisions::CarryOut(const policy::Action& action) {
   using namespace ryeglade::policy;
-  std::visit(Overloaded{
-                 [&](const SendAttempt& a) { core_->attempts->Send(a.id, a.replica, a.timeout); },
-                 [&](const CancelAttempt& a) { core_->attempts->CancelAttempt(a.id, a.attempt); },
-                 [&](const Refuse& a) { core_->verdicts->Refuse(a.id, a.retry_after); },
-                 [&](const Fail& a) { core_->verdicts->Fail(a.id); },
-                 [&](const MoveStream& a) { core_->verdicts->Move(a.id); },
-                 [&](const SetTimer& a) {
-                   core_->deadlines->Set(Now() + a.delay,
-                                         [this, token = a.token] { Post(TimerFired{token}); });
-                 },
-                 [&](const ProbeReplica& a) { core_->attempts->Probe(a.replica); },
-                 [&](const SubscribeList& a) { core_->membership->Watch(a.on); },
-                 [&](const FetchList&) { core_->membership->Fetch(); },
-             },
-             action);
+  std::visit(
+      Overloaded{
+          [&](const SendAttempt& a) { core_->attempts->Send(a.id, a.replica, a.timeout, a.write_within); },
+          [&](const CancelAttempt& a) { core_->attempts->CancelAttempt(a.id, a.attempt); },
+          [&](const Refuse& a) { core_->verdicts->Refuse(a.id, a.retry_after); },
+          [&](const Fail& a) { core_->verdicts->Fail(a.id); },
+          [&](const MoveStream& a) { core_->verdicts->Move(a.id); },
+          [&](const SetTimer& a) {
+            core_->deadlines->Set(Now() + a.delay, [this, token = a.token] { Post(TimerFired{token}); });
+          },
+          [&](const ProbeReplica& a) { core_->attempts->Probe(a.replica); },
+          [&](const SubscribeList& a) { core_->membership->Watch(a.on); },
+          [&](const FetchList&) { core_->membership->Fetch(); },
+      },
+      action);
 }
 
 }  // namespace ryeglade
--- a/src/core/decisions.h
+++ b/src/core/decisions.h
@@ -10,10 +10,11 @@
 
 namespace ryeglade {
 
-class Decisions : public EventPort, private policy::Observer {
+class Decisions : public EventPort, public RepeatPort, private policy::Observer {
  public:
   explicit Decisions(Core* core);
   void Post(policy::Event event) override;
+  bool MayRepeat(Handle stream) const override { return router_.may_refuse(stream); }
   // Before the first event; none: nobody listens, at no cost.
   void Tap(DecisionTap* tap);
   // Whoever else wants the decision module's reasons. Must be set before the first event; not owned.
--- a/src/core/discovery.cpp
+++ b/src/core/discovery.cpp
@@ -337,7 +337,7 @@
          {"hosts", hosts_.size()}});
   }
   if (core_->membership_tap != nullptr) core_->membership_tap->OnRoster(Now(), source, generation_, "");
-  core_->events->Post(std::move(told));
+  Tell(std::move(told));
   for (const ReplicaId id : left) {
     if (hosts_.contains(id)) continue;
     start_times_.Forget(id);
@@ -351,6 +351,17 @@
   return true;
 }
 
+// The module first, so that nothing is decided by the old list; then what was decided by it and is not
+// written.
+void Discovery::Tell(ReplicaList list) {
+  std::vector<ReplicaId> closed;
+  for (const ReplicaEntry& e : list.entries) {
+    if (e.phase != Phase::kReady) closed.push_back(e.id);
+  }
+  core_->events->Post(std::move(list));
+  for (const ReplicaId id : closed) core_->hosts->Withhold(id);
+}
+
 // What an operator said comes before what the lists say.
 void Discovery::Overlay(const Holds& holds, const std::string& name, policy::ReplicaEntry& e) {
   if (holds.out.contains(name) && e.phase == Phase::kReady) e.phase = Phase::kDraining;
@@ -385,7 +396,7 @@
     if (before.phase != after.phase || before.started_at != after.started_at) told.entries.push_back(after);
   }
   holds_ = holds;
-  if (!told.entries.empty()) core_->events->Post(std::move(told));
+  if (!told.entries.empty()) Tell(std::move(told));
 }
 
 bool Discovery::Hold(const std::string& instance, bool out) {
@@ -400,7 +411,7 @@
   if (!listed) return true;
   ReplicaEntry e = told_.at(id->second);
   Overlay(holds_, instance, e);
-  core_->events->Post(ReplicaList{ListScope::kDelta, static_cast<std::uint32_t>(generation_), {e}});
+  Tell(ReplicaList{ListScope::kDelta, static_cast<std::uint32_t>(generation_), {e}});
   return true;
 }
 
--- a/src/core/discovery.h
+++ b/src/core/discovery.h
@@ -79,6 +79,7 @@
   void Start(bool watch, bool move = false);
   void Move();
   void Expect(Handle call, Time within);
+  void Tell(policy::ReplicaList list);
   void Failed(Handle call, const char* why);
   void Drop(Handle call);
   bool Apply(std::string_view text, bool single, bool current);
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -75,13 +75,25 @@
   virtual void Broken(Handle stream) = 0;
   // A host said that the request itself is wrong: the status and body pass on once.
   virtual void Rejected(Handle stream, int status, const std::string& body) = 0;
+  // Asked right before an attempt is written: false if the client has closed its connection, although its end
+  // may not have been read yet. The stream is over then.
+  virtual bool StillWanted(Handle stream) = 0;
+};
+
+// What may be told to a client of its request's attempts. The decision module is the one place that knows.
+class RepeatPort {
+ public:
+  virtual ~RepeatPort() = default;
+  // Whether repeating the request is harmless; false where that is not known.
+  virtual bool MayRepeat(Handle stream) const = 0;
 };
 
 // The decisions' side of the upstream.
 class AttemptPort {
  public:
   virtual ~AttemptPort() = default;
-  virtual void Send(Handle stream, ReplicaId to, Time timeout) = 0;
+  // `timeout` and `write_within` as in policy::SendAttempt.
+  virtual void Send(Handle stream, ReplicaId to, Time timeout, Time write_within) = 0;
   virtual void CancelAttempt(Handle stream, int attempt) = 0;
   virtual void Probe(ReplicaId to) = 0;
 };
@@ -92,6 +104,10 @@
   virtual ~FlowPort() = default;
   virtual void Cancel(Handle upstream_request) = 0;
   virtual void Pause(Handle upstream_request, bool pause) = 0;
+  // Its answer is not waited for beyond `at`; one that has begun is left alone.
+  virtual void EndBy(Handle upstream_request, Time at) = 0;
+  // It ends now: as a time-out if it may have run, else as one that never did.
+  virtual void EndNow(Handle upstream_request) = 0;
 };
 
 // The membership's side of the upstream.
@@ -100,6 +116,8 @@
   virtual ~HostPort() = default;
   virtual void SetHost(ReplicaId id, const std::string& host_port) = 0;
   virtual void RemoveHost(ReplicaId id) = 0;
+  // It wants nothing new: what has not been written to it yet ends as not sent.
+  virtual void Withhold(ReplicaId id) = 0;
   virtual std::string AddressOf(ReplicaId id) const = 0;  // as last set; empty: not known
 };
 
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -15,7 +15,7 @@
 constexpr Time kMoveEvery = 50'000;
 constexpr int kMoveAtOnce = 8;
 constexpr Time kMoveSpare = 50'000;  // and the last are gone by this long before the end
-constexpr Time kGuardRetryAfter = 1'000'000;
+constexpr Time kEndingRetryAfter = 1'000'000;
 
 }  // namespace
 
@@ -26,7 +26,7 @@
   const std::string class_name = cls < classes.size() ? classes[cls].name : "";
   if (end_by_ != 0 && now >= take_until_) {
     if (core_->tally != nullptr) ++core_->tally->by_class[class_name].busy;
-    sink->OnRefused(client, kGuardRetryAfter);
+    sink->OnRefused(client, kEndingRetryAfter);
     return 0;
   }
   Time patience = std::max<Time>(0, request.arrival.patience - (now - request.sent_at));
@@ -47,7 +47,7 @@
 }
 
 // Guards against a stream that nothing answers: the module answers sooner, or the upstream request's own
-// time-out makes it do so.
+// time-out makes it do so, unless a client comes with very little time left.
 void Streams::Bound(Stream& s, Handle handle, Time deadline) {
   const Time patience = std::max<Time>(0, deadline - Now());
   s.deadline = deadline;
@@ -56,16 +56,22 @@
       core_->deadlines->Set(deadline - Margin(patience, kGuardMargin), [this, handle] { Guard(handle); });
 }
 
-// Guards against a budget that is longer than this process has to live: SIGKILL would find it unanswered.
+// Guards against a budget that is longer than this process has to live: SIGKILL would find it unanswered. The
+// module is told, so that it concludes in time on what it knows of the attempts.
 void Streams::EndBy(Time at, Time take_until) {
   end_by_ = at;
   take_until_ = take_until;
   for (const Handle handle : table_.All()) {
-    Stream& s = *table_.Get(handle);
-    if (!s.started && s.deadline > at) Bound(s, handle, at);
+    Stream* s = table_.Get(handle);
+    if (s == nullptr || s->started || s->deadline <= at) continue;
+    Bound(*s, handle, at);
+    const Time left = std::max<Time>(0, at - Now());
+    core_->flow->EndBy(s->upstream_request, at - Margin(left, kTimeoutMargin));
+    core_->events->Post(policy::PatienceCut{handle, left});
   }
   if (core_->config->settings.can_move_streams) {
-    core_->deadlines->Set(std::max(Now(), at - kMoveBefore), [this] { MoveOn(); });
+    core_->deadlines->Cancel(move_on_);
+    move_on_ = core_->deadlines->Set(std::max(Now(), at - kMoveBefore), [this] { MoveOn(); });
   }
 }
 
@@ -77,7 +83,7 @@
   const auto running = static_cast<Time>(
       std::count_if(all.begin(), all.end(), [this](Handle h) { return table_.Get(h)->started; }));
   if (Now() + (running / kMoveAtOnce + 1) * kMoveEvery + kMoveSpare < end_by_) {
-    core_->deadlines->Set(Now() + kMoveEvery, [this] { MoveOn(); });
+    move_on_ = core_->deadlines->Set(Now() + kMoveEvery, [this] { MoveOn(); });
     return;
   }
   int moved = 0;
@@ -87,17 +93,34 @@
     Move(handle);
   }
   if (moved > 0) Log(Level::kInfo, "moving", {{"streams", table_.size()}});
-  core_->deadlines->Set(Now() + kMoveEvery, [this] { MoveOn(); });
+  move_on_ = core_->deadlines->Set(Now() + kMoveEvery, [this] { MoveOn(); });
 }
 
+// The time is up. What may be told to the client hangs on what its attempts may have done, so the module
+// answers: it learns that there is no time left, then how the attempt that is out ends. Should it not answer
+// even so, the answer given here promises nothing.
 void Streams::Guard(Handle handle) {
   const Stream* s = table_.Get(handle);
   if (s == nullptr || s->started) return;
+  core_->events->Post(policy::PatienceCut{handle, 0});
+  s = table_.Get(handle);
+  if (s == nullptr) return;
+  core_->flow->EndNow(s->upstream_request);
+  s = table_.Get(handle);
+  if (s == nullptr) return;
   Log(Level::kError, "guard-reply",
       {{"id", s->request.call_id}, {"out", s->upstream_request != 0}, {"written", s->written}});
   if (core_->tally != nullptr) ++core_->tally->guard_replies;
   core_->events->Post(policy::ClientGone{handle});  // to the module it is over
-  Refuse(handle, kGuardRetryAfter);
+  Fail(handle);
+}
+
+bool Streams::StillWanted(Handle handle) {
+  const Stream* s = table_.Get(handle);
+  if (s == nullptr) return false;
+  if (s->sink->Connected(s->client)) return true;
+  ClientGone(handle);
+  return false;
 }
 
 void Streams::ClientGone(Handle handle) {
--- a/src/core/streams.h
+++ b/src/core/streams.h
@@ -23,6 +23,7 @@
 class StreamSink {
  public:
   virtual ~StreamSink() = default;
+  virtual bool Connected(Handle client) const = 0;  // false: the client has closed its connection
   virtual void OnData(Handle client, std::string_view events) = 0;  // the first call starts the answer
   virtual void OnWhole(Handle client) = 0;
   virtual void OnBroken(Handle client) = 0;  // after data, before the end
@@ -64,6 +65,7 @@
   void Whole(Handle stream) override;
   void Broken(Handle stream) override;
   void Rejected(Handle stream, int status, const std::string& body) override;
+  bool StillWanted(Handle stream) override;
 
   // From the decisions.
   void Refuse(Handle stream, Time retry_after) override;
@@ -71,12 +73,17 @@
   void Move(Handle stream) override;
 
   // Whatever has not begun by `at` gets its answer then. What comes after `take_until` is refused at once.
-  // What has begun ends a little earlier if its client may ask for the rest elsewhere.
+  // What has begun ends a little earlier if its client may ask for the rest elsewhere. May be called again
+  // with earlier times.
   void EndBy(Time at, Time take_until);
 
   Stream* Get(Handle stream) override { return table_.Get(stream); }
   std::size_t size() const { return table_.size(); }
 
+  // An attempt ends this long before the client's time is up. Guards against a last, hopeless attempt: it is
+  // after the module's own last call (20 ms before), so that a time-out makes the module answer and not send
+  // again.
+  static constexpr Time kTimeoutMargin = 15'000;
   // How long before a deadline the node acts, so that the answer is with the client in time.
   static Time Margin(Time patience, Time usual) { return std::min(usual, std::max<Time>(0, patience / 4)); }
 
@@ -94,6 +101,7 @@
   Slots<Stream> table_;
   Time end_by_ = 0;  // 0: no end in sight
   Time take_until_ = 0;
+  DeadlineId move_on_{};
 };
 
 }  // namespace ryeglade
--- a/src/core/upstream.cpp
+++ b/src/core/upstream.cpp
@@ -20,10 +20,6 @@
 namespace ryeglade {
 namespace {
 
-// An attempt ends this long before the client's time is up. Guards against a last, hopeless attempt: it is
-// after the module's own last call (20 ms before), so that a time-out makes the module answer and not send
-// again.
-constexpr Time kTimeoutMargin = 15'000;
 constexpr Time kSilence = 4'000'000;  // a stream silent for longer is broken; clients wait 5 s
 constexpr Time kProbeTimeout = 1'000'000;
 constexpr Time kIdleMargin = 500'000;    // idle connections go this long before the host closes them
@@ -66,6 +62,21 @@
   const std::vector<Handle> idle = std::exchange(it->second.idle, {});
   for (const Handle c : idle) Drop(c);
   hosts_.erase(it);
+  Withhold(id);
+}
+
+// Guards against a connection that comes up late: by then the host may have been asked to be left alone for
+// longer than what is on its way may take.
+void Upstream::Withhold(ReplicaId id) {
+  for (const Handle handle : requests_.All()) {
+    const Request* r = requests_.Get(handle);
+    if (r != nullptr && r->replica == id && !Written(*r)) Finish(handle, Outcome::kNotSent);
+  }
+}
+
+bool Upstream::Written(const Request& request) const {
+  const Connection* c = connections_.Get(request.connection);
+  return c != nullptr && c->written;
 }
 
 // Guards against running out of descriptors: the connection that has been idle longest goes first.
@@ -138,7 +149,7 @@
 
 // ---- Requests ----
 
-void Upstream::Send(Handle stream, ReplicaId to, Time timeout) {
+void Upstream::Send(Handle stream, ReplicaId to, Time timeout, Time write_within) {
   Stream* s = core_->answers->Get(stream);
   Request r;
   r.stream = stream;
@@ -153,8 +164,9 @@
   }
   r.attempt = s->attempts++;
   const Time now = Now();
+  if (write_within > 0) r.write_by = now + write_within;
   const Time patience = s->deadline - now;
-  Time deadline = s->deadline - Streams::Margin(patience, kTimeoutMargin);
+  Time deadline = s->deadline - Streams::Margin(patience, Streams::kTimeoutMargin);
   if (timeout > 0) deadline = std::min(deadline, now + timeout);
   if (s->started || s->upstream_request != 0 || patience <= 0) {
     core_->events->Post(policy::AttemptEnded{stream, r.attempt, to, Outcome::kNotSent, 0, s->started, 0, {}});
@@ -212,14 +224,22 @@
 void Upstream::Expect(Handle handle, Time by) {
   Request& r = *requests_.Get(handle);
   core_->deadlines->Cancel(r.deadline);
-  r.deadline = core_->deadlines->Set(by, [this, handle] {
-    const Request* late = requests_.Get(handle);
-    if (late == nullptr) return;
-    const Connection* c = connections_.Get(late->connection);
-    const bool written = c != nullptr && c->written;
-    const bool begun = written && c->first_byte != 0;
-    Finish(handle, begun ? Outcome::kReset : written ? Outcome::kTimeout : Outcome::kConnectFailed);
-  });
+  r.deadline = core_->deadlines->Set(by, [this, handle] { EndNow(handle); });
+}
+
+void Upstream::EndNow(Handle handle) {
+  const Request* r = requests_.Get(handle);
+  if (r == nullptr) return;
+  if (!Written(*r)) return Finish(handle, Outcome::kConnectFailed);
+  const bool begun = connections_.Get(r->connection)->first_byte != 0;
+  Finish(handle, begun ? Outcome::kReset : Outcome::kTimeout);
+}
+
+void Upstream::EndBy(Handle handle, Time at) {
+  Request* r = requests_.Get(handle);
+  if (r == nullptr || r->started || r->until <= at) return;
+  r->until = at;
+  if (r->deadline.at > at) Expect(handle, at);
 }
 
 // Guards against taking for this request's answer a second answer that came right behind the last one: the
@@ -238,7 +258,22 @@
   return 0;
 }
 
+// Between the decision to send and the first byte a connection may have had to come up, and the process may
+// have been held up: whatever forbids the attempt by now keeps it from being written.
+bool Upstream::MayWrite(Handle handle) {
+  const Request& r = *requests_.Get(handle);
+  if (r.stream == 0) return true;
+  const Stream* s = core_->answers->Get(r.stream);
+  const Time now = Now();
+  if (s == nullptr || now >= s->deadline || (r.write_by != 0 && now > r.write_by)) {
+    Finish(handle, Outcome::kNotSent);
+    return false;
+  }
+  return core_->answers->StillWanted(r.stream);
+}
+
 void Upstream::Write(Handle handle) {
+  if (!MayWrite(connections_.Get(handle)->request)) return;
   Connection& c = *connections_.Get(handle);
   core_->deadlines->Cancel(c.deadline);
   c.response = {};
--- a/src/core/upstream.h
+++ b/src/core/upstream.h
@@ -26,15 +26,18 @@
   // From discovery. A changed address leaves busy connections alone and drops the idle ones.
   void SetHost(ReplicaId id, const std::string& host_port) override;
   void RemoveHost(ReplicaId id) override;
+  void Withhold(ReplicaId id) override;
 
   // From the decisions.
-  void Send(Handle stream, ReplicaId to, Time timeout) override;
+  void Send(Handle stream, ReplicaId to, Time timeout, Time write_within) override;
   void CancelAttempt(Handle stream, int attempt) override;
   void Probe(ReplicaId to) override;
 
   // From the streams.
   void Cancel(Handle request) override;
   void Pause(Handle request, bool pause) override;
+  void EndBy(Handle request, Time at) override;
+  void EndNow(Handle request) override;
 
   void Close();
   void Limit(std::size_t most_sockets) {
@@ -89,7 +92,8 @@
     ReplicaId replica = 0;
     Time sent_at = 0;
     Time last_byte = 0;
-    Time until = 0;  // when the wait for an answer ends
+    Time until = 0;     // when the wait for an answer ends
+    Time write_by = 0;  // not written later than this; 0: any time
     Handle connection = 0;
     bool started = false;
     bool paused = false;
@@ -111,6 +115,8 @@
   void Finish(Handle request, Outcome outcome);
   void Reject(Handle request);
   void Broke(Handle connection);
+  bool Written(const Request& request) const;
+  bool MayWrite(Handle request);
   void Expect(Handle request, Time by);
   Handle TakeIdle(Host& host);
   void Park(Handle connection);
--- a/src/fronts/openai/openai_front.h
+++ b/src/fronts/openai/openai_front.h
@@ -38,6 +38,7 @@
   void OnFlow(Handle connection, bool congested) override;
   void Dress(int status, std::string& headers, std::string& body) override;
 
+  bool Connected(Handle connection) const override { return downstream_->Connected(connection); }
   void OnData(Handle connection, std::string_view events) override;
   void OnWhole(Handle connection) override;
   void OnBroken(Handle connection) override;
--- a/src/fronts/platform/platform_front.h
+++ b/src/fronts/platform/platform_front.h
@@ -21,6 +21,7 @@
   void OnGone(Handle connection) override;
   void OnFlow(Handle connection, bool congested) override;
 
+  bool Connected(Handle connection) const override { return downstream_->Connected(connection); }
   void OnData(Handle connection, std::string_view events) override;
   void OnWhole(Handle connection) override;
   void OnBroken(Handle connection) override;
--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -477,6 +477,11 @@
   return c == nullptr ? sockaddr_storage{} : c->tcp->Peer();
 }
 
+bool Downstream::Connected(Handle handle) const {
+  const Client* c = clients_.Get(handle);
+  return c != nullptr && !c->tcp->PeerClosed();
+}
+
 void Downstream::CloseAfter(Handle handle) {
   if (Client* c = clients_.Get(handle)) c->keep_alive = false;
 }
--- a/src/http/downstream.h
+++ b/src/http/downstream.h
@@ -61,9 +61,11 @@
   void Chunk(Handle connection, std::string_view bytes);
   void EndChunks(Handle connection);
   sockaddr_storage PeerOf(Handle connection);  // all zero: not known
-  void CloseAfter(Handle connection);          // no further request is taken on it
-  void Abort(Handle connection);               // ends the connection without the last chunk
-  void EndBroken(Handle connection);           // the same, once all that was written has gone out
+  // False: the client has closed it, whether or not that has been read yet.
+  bool Connected(Handle connection) const;
+  void CloseAfter(Handle connection);  // no further request is taken on it
+  void Abort(Handle connection);       // ends the connection without the last chunk
+  void EndBroken(Handle connection);   // the same, once all that was written has gone out
 
   // Another process takes clients at this address from here on: what waits in the kernel is taken still, then
   // the listener closes, and connections go as they become idle.
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -204,6 +204,10 @@
                                      [](const auto& r, ReplicaId v) { return r->entry.id < v; });
     return it != fleet_.end() && (*it)->entry.id == id ? it->get() : nullptr;
   }
+  bool MayRefuse(RequestId id) const {
+    const auto it = requests_.find(id);
+    return it != requests_.end() && MayRefuse(it->second);
+  }
   void Retune(const std::vector<ClassSettings>& classes, int max_attempts) {
     if (classes.size() < settings_.classes.size()) return;
     settings_.classes = classes;
@@ -233,6 +237,7 @@
   void On(const Inherited& e);
   void On(const OutBeside& e);
   void On(const TierEvidence& e);
+  void On(const PatienceCut& e);
   void On(const TierKeys& e) { told_keys_ = {e.shares.begin(), e.shares.end()}; }
   void Fit();  // what is learned class by class, to the classes in force
 
@@ -297,6 +302,7 @@
   bool MaySend(const Request& r, const Replica& to) const;
   bool ByZone() const { return settings_.fee_cross_zone > 0 && settings_.zones > 1; }
   bool MaySendAnywhere(const Request& r) const;
+  Time RepeatWithin(const Request& r) const;
   bool MayRefuse(const Request& r) const;
   void Conclude(Request& r, Why why);
   void NoteSend(const Request& r, const Replica& to) const;
@@ -492,6 +498,18 @@
   Forget(e.id);
 }
 
+// An attempt that is out stays so: the request is concluded by its outcome, as there is no time for another.
+void Router::Impl::On(const PatienceCut& e) {
+  const auto it = requests_.find(e.id);
+  if (it == requests_.end() || it->second.done || it->second.started) return;
+  Request& r = it->second;
+  r.deadline = std::min(r.deadline, now_ + std::max<Time>(0, e.patience));
+  if (!r.held) return;
+  r.give_up_at = GiveUpAt(r);
+  if (now_ >= r.give_up_at) return Conclude(r, Why::kHeldTooLong);
+  SetAlarm(r.give_up_at, Wake::kGiveUp, e.id);
+}
+
 void Router::Impl::Forget(RequestId id) {
   const auto it = requests_.find(id);
   if (it != requests_.end() && it->second.done && it->second.out == 0) requests_.erase(it);
@@ -574,6 +592,7 @@
 
 void Router::Impl::Send(Request& r, Replica& to) {
   if (observer_ != nullptr && observer_->wants_sends()) NoteSend(r, to);
+  const Time write_within = RepeatWithin(r);
   Attempt a;
   a.replica = to.entry.id;
   a.zone = to.entry.zone;
@@ -592,7 +611,7 @@
   Keep(r.info, to.entry.id);
   k_.sends.Add(now_, kTenantMemory, 1);
   if (Warmth(to) < 1) to.cold_tokens -= 1;
-  Act(SendAttempt{r.info.id, to.entry.id, 0});
+  Act(SendAttempt{r.info.id, to.entry.id, 0, write_within});
 }
 
 // Present caps. This node's part of a replica's cap is a real number: the fleet-wide level that time to first
@@ -1169,6 +1188,19 @@
   return true;
 }
 
+// How much is left of the window in which repeats are dropped, for a request that may have run; 0: no bound.
+Time Router::Impl::RepeatWithin(const Request& r) const {
+  const ClassSettings& c = ClassOf(r);
+  if (c.effect != Effect::kKeyed) return 0;
+  Time within = 0;
+  for (const Attempt& a : r.attempts) {
+    if (!a.ran) continue;
+    const Time left = std::max<Time>(1, a.sent + c.dedup_window - now_);
+    within = within == 0 ? left : std::min(within, left);
+  }
+  return within;
+}
+
 bool Router::Impl::MayRefuse(const Request& r) const {
   const ClassSettings& c = ClassOf(r);
   if (c.effect == Effect::kSafe) return true;
@@ -1322,5 +1354,6 @@
 }
 Learned Router::Export() const { return impl_->Export(); }
 double Router::cap_total() const { return impl_->cap_total(); }
+bool Router::may_refuse(RequestId id) const { return impl_->MayRefuse(id); }
 
 }  // namespace ryeglade::policy
--- a/src/timeline/flight_model.cpp
+++ b/src/timeline/flight_model.cpp
@@ -115,8 +115,13 @@
   f(e.out);
 }
 template <class F>
+void Fields(F& f, PatienceCut& e) {
+  f(e.id, e.patience);
+}
+template <class F>
 void Fields(F& f, SendAttempt& e) {
   f(e.id, e.replica, e.timeout);
+  f.Since7(e.write_within);
 }
 template <class F>
 void Fields(F& f, CancelAttempt& e) {
@@ -204,6 +209,10 @@
   void operator()(T&...) {
     n += sizeof...(T);
   }
+  template <class T>
+  void Since7(T&) {
+    ++n;
+  }
 };
 
 struct Writer {
@@ -213,6 +222,10 @@
     (One(fields), ...);
   }
   template <class T>
+  void Since7(T& v) {
+    One(v);
+  }
+  template <class T>
   void One(T& v) {
     if constexpr (std::is_enum_v<T>) {
       p.pack(static_cast<std::uint32_t>(v));
@@ -257,6 +270,11 @@
   void operator()(T&... fields) {
     (One(fields), ...);
   }
+  // A last field that records before format 7 lack: it keeps its default there.
+  template <class T>
+  void Since7(T& v) {
+    if (at < a.size) One(v);
+  }
   const msgpack::object& Next() {
     if (at >= a.size) Bad("a record lacks fields");
     return a.ptr[at++];
@@ -444,6 +462,9 @@
     return fmt::format("inherited level {:.2f} of {} nodes, {} averages, {} replicas", e.learned->level,
                        e.learned->nodes, e.learned->runtime.size(), e.learned->replicas.size());
   }
+  std::string operator()(const PatienceCut& e) const {
+    return fmt::format("patience of {:x} cut to {:.0f} ms", e.id, Ms(e.patience));
+  }
   std::string operator()(const OutBeside& e) const {
     int all = 0;
     for (const auto& [id, out] : e.out) all += out;
@@ -477,8 +498,9 @@
 
 struct ActionWords {
   std::string operator()(const SendAttempt& a) const {
-    return fmt::format("send {:x} to {:08x}{}", a.id, a.replica,
-                       a.timeout > 0 ? fmt::format(" for {:.0f} ms", Ms(a.timeout)) : "");
+    return fmt::format("send {:x} to {:08x}{}{}", a.id, a.replica,
+                       a.timeout > 0 ? fmt::format(" for {:.0f} ms", Ms(a.timeout)) : "",
+                       a.write_within > 0 ? fmt::format(" within {:.0f} ms", Ms(a.write_within)) : "");
   }
   std::string operator()(const CancelAttempt& a) const {
     return fmt::format("cancel {:x}.{}", a.id, a.attempt);
--- a/src/timeline/flight_model.h
+++ b/src/timeline/flight_model.h
@@ -14,9 +14,9 @@
 
 using policy::Time;
 
-// 5 had nothing of what other nodes tell; 4 no part of the tier; 3 nothing inherited; 2 no Tier; 1 no more
-// than Start, Decision and Gap.
-inline constexpr std::uint32_t kFormat = 6;
+// 6 had no PatienceCut and no bound on writing an attempt; 5 had nothing of what other nodes tell; 4 no part
+// of the tier; 3 nothing inherited; 2 no Tier; 1 no more than Start, Decision and Gap.
+inline constexpr std::uint32_t kFormat = 7;
 
 // The first record of a process: what a Router is built from.
 struct Start {
--- a/tests/duplicates.cpp
+++ b/tests/duplicates.cpp
@@ -37,7 +37,6 @@
               SettingsOf(e, deadline_us));
 }
 
-int StatusOf(const std::string& head) { return std::atoi(head.c_str() + head.find(' ') + 1); }
 bool Refuses(int status) { return status == 429 || status == 503; }
 
 // A replica takes a request and says nothing, until the node that was told to end has to answer.
--- a/tests/faults.cpp
+++ b/tests/faults.cpp
@@ -14,8 +14,6 @@
 std::string program, library;
 const std::string kNobody = "127.0.0.1:9";  // discovery that the node never needs
 
-bool Has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
-
 nlohmann::json ListOf(const Peer& host, int generation = 1) {
   return List(generation, true, {Instance("s-a", host.at())});
 }
@@ -167,15 +165,6 @@
   assert(node.Exit() == 0);
 }
 
-// Reads a call for a watch and tells `list` on it.
-Conn AnswerWatch(const Peer& discovery, const nlohmann::json& list) {
-  Conn watch = discovery.Accept();
-  assert(Has(watch.Message(), "follow=1"));
-  watch.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-  watch.Chunk(list.dump() + "\n");
-  return watch;
-}
-
 // The list that a node is given at its start may be old: it takes no client before discovery has told the
 // rest.
 void FirstListFirst() {
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -118,10 +118,10 @@
 // A server that the story plays: an upstream host or discovery.
 class Peer {
  public:
-  Peer() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  explicit Peer(int backlog = 64) : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
     sockaddr_in a = Loopback(0);
     socklen_t n = sizeof a;
-    assert(bind(fd_, reinterpret_cast<sockaddr*>(&a), n) == 0 && listen(fd_, 64) == 0);
+    assert(bind(fd_, reinterpret_cast<sockaddr*>(&a), n) == 0 && listen(fd_, backlog) == 0);
     assert(getsockname(fd_, reinterpret_cast<sockaddr*>(&a), &n) == 0);
     port_ = ntohs(a.sin_port);
   }
@@ -298,4 +298,19 @@
 inline const std::string kStream =
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+inline bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+inline int StatusOf(const std::string& head) { return std::atoi(head.c_str() + head.find(' ') + 1); }
+
+// Reads a call for a watch and tells `list` on it.
+inline Conn AnswerWatch(const Peer& discovery, const nlohmann::json& list) {
+  Conn watch = discovery.Accept();
+  assert(Has(watch.Message(), "follow=1"));
+  watch.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  watch.Chunk(list.dump() + "\n");
+  return watch;
+}
+
 }  // namespace stories
--- a/tests/router_rules_test.cpp
+++ b/tests/router_rules_test.cpp
@@ -650,5 +650,72 @@
   EXPECT_EQ(n.router.open(), 0u);
 }
 
+// ---- Time that is cut short ----
+
+TEST(PatienceCut, ARequestThatIsHeldIsRefusedWithinIt) {
+  Node n(WithEffect(Effect::kUnsafe));
+  const RequestId id = n.Ask(8 * kSecond);
+  n.Give(PatienceCut{id, 500 * kMs});
+  n.Pass(400 * kMs);
+  EXPECT_EQ(n.Finals(id), 0u);
+  n.Pass(100 * kMs);
+  EXPECT_EQ(n.Of<Refuse>(id).size(), 1u);
+  EXPECT_EQ(n.router.open(), 0u);
+}
+
+TEST(PatienceCut, AtZeroAnAttemptThatIsOutIsTheLastAndSaysWhatMayBeTold) {
+  struct Row {
+    Effect effect;
+    DedupScope scope;
+    bool may_refuse;
+  };
+  for (const Row& row :
+       {Row{Effect::kSafe, DedupScope::kAll, true}, Row{Effect::kUnsafe, DedupScope::kAll, false},
+        Row{Effect::kKeyed, DedupScope::kAll, true}, Row{Effect::kKeyed, DedupScope::kZone, false},
+        Row{Effect::kKeyed, DedupScope::kCell, false}}) {
+    for (const Outcome outcome :
+         {Outcome::kTimeout, Outcome::kConnectFailed, Outcome::kReset, Outcome::kNotSent}) {
+      Node n(WithEffect(row.effect, row.scope));
+      n.List(Fleet(3));
+      const RequestId id = n.Ask(8 * kSecond);
+      ASSERT_EQ(n.Sends(id).size(), 1u);
+      EXPECT_EQ(n.router.may_refuse(id), row.may_refuse);
+      n.Give(PatienceCut{id, 0});
+      EXPECT_EQ(n.Finals(id), 0u);  // an attempt is out
+      n.End(id, 0, outcome, false);
+      EXPECT_EQ(n.Sends(id).size(), 1u);
+      const bool never_ran = outcome == Outcome::kConnectFailed || outcome == Outcome::kNotSent;
+      EXPECT_EQ(n.Of<Refuse>(id).size(), row.may_refuse || never_ran ? 1u : 0u);
+      EXPECT_EQ(n.Finals(id), 1u);
+    }
+  }
+}
+
+TEST(PatienceCut, NeverGivesMoreTimeAndPassesOverWhatIsNotThere) {
+  Node n(BasicSettings());
+  const RequestId id = n.Ask(300 * kMs);
+  n.Give(PatienceCut{id, 60 * kSecond});
+  n.Give(PatienceCut{id + 7, 0});
+  n.Give(PatienceCut{id, -5});
+  EXPECT_EQ(n.Finals(id), 1u);
+  EXPECT_FALSE(n.router.may_refuse(id));  // it is over: nothing is known of it
+}
+
+TEST(NoEffectTwice, ARepeatCarriesWhatIsLeftOfTheWindow) {
+  Settings s = WithEffect(Effect::kKeyed);
+  s.classes[0].dedup_window = 2 * kSecond;
+  Node n(s);
+  n.List(Fleet(3));
+  const RequestId id = n.Ask(8 * kSecond);
+  n.Pass(700 * kMs);
+  n.End(id, 0, Outcome::kReset, false);
+  ASSERT_EQ(n.Sends(id).size(), 2u);
+  EXPECT_EQ(n.Sends(id)[0].write_within, 0);
+  EXPECT_EQ(n.Sends(id)[1].write_within, 1300 * kMs);
+  n.End(id, 1, Outcome::kConnectFailed, false);  // never ran: the window is still the first one's
+  ASSERT_EQ(n.Sends(id).size(), 3u);
+  EXPECT_EQ(n.Sends(id)[2].write_within, 1300 * kMs);
+}
+
 }  // namespace
 }  // namespace ryeglade::policy::test
