End by itself before SIGKILL while clients keep coming, and invite no repeat of what ran

The node's part: no connection taken 1 s after SIGTERM (or from answer_by), none kept at stop_by (0.1 s before SIGKILL) unless a stream still passes on, a request that is not whole gets 503. The listener closes behind a filter that lets nothing come up (Listener::StopNew), then takes what waits. Settings that come after SIGTERM may only bring the end forward (Earlier); a JSON error of any type no longer ends Reload's caller. OpenAI-style front: a request cut or failed after it may have run (tokens spent, answer too long, broken, timed out) got 429, 503, Retry-After or a 5xx that official clients repeat; now 502/504 with x-should-retry: false unless the class allows repeats. OpenAI-style replicas: a bare 503 no longer counts as 'never ran'; 429, and 503 that says when to come back, do.

--- a/lab/node_process.cpp
+++ b/lab/node_process.cpp
@@ -99,13 +99,13 @@
 }
 
 std::string ConfigJson(const std::string& listen, const std::string& discovery, const std::string& known,
-                       std::int64_t promise_ms, std::int64_t deadline_ms) {
+                       std::int64_t promise_ms, std::int64_t deadline_ms, const std::string& effect) {
   const auto cls = [&](const char* name, double worth) {
     return nlohmann::json{{"name", name},
                           {"promise", promise_ms * 1000},
                           {"deadline", deadline_ms * 1000},
                           {"stream", true},
-                          {"effect", "free"},
+                          {"effect", effect},
                           {"worth", worth}};
   };
   const nlohmann::json config = {{"name", "lab"},
--- a/lab/node_process.h
+++ b/lab/node_process.h
@@ -43,6 +43,7 @@
 // A minimal configuration of the platform's JSON: two classes, `docs` and `agent`, by default with generous
 // aims.
 std::string ConfigJson(const std::string& listen, const std::string& discovery, const std::string& known,
-                       std::int64_t promise_ms = 20'000, std::int64_t deadline_ms = 30'000);
+                       std::int64_t promise_ms = 20'000, std::int64_t deadline_ms = 30'000,
+                       const std::string& effect = "free");
 
 }  // namespace ryeglade::lab
--- a/lab/rig.cpp
+++ b/lab/rig.cpp
@@ -33,7 +33,7 @@
   }
   NodeFiles files;
   files.config = ConfigJson("127.0.0.1:0", directory_.Listen(), directory_.Text(true), options.promise_ms,
-                            options.deadline_ms);
+                            options.deadline_ms, options.effect);
   const bool openai = !options.replicas.empty() && options.replicas.front().speech == Speech::kOpenAi;
   files.settings = fmt::format(
       "[upstream]\ndialect = \"{}\"\n\n[openai]\nlisten = \"{}\"\nmetrics_networks = [\"127.0.0.0/8\"]\n{}"
--- a/lab/rig.h
+++ b/lab/rig.h
@@ -24,6 +24,7 @@
   std::string more_settings;                               // TOML put behind what the rig writes
   std::string limits;                                      // TOML of [openai.limits]
   std::int64_t promise_ms = 20'000, deadline_ms = 30'000;  // of both classes
+  std::string effect = "free";                             // of both: free, single_shot or guarded
 };
 
 class Rig {
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -46,7 +46,7 @@
 
 // The loop's, the listeners, standard streams, the admin listener's callers, some to spare.
 constexpr std::size_t kOwnSockets = 24 + AdminFront::kSockets;
-constexpr Time kQuiet = 200'000;  // the listener closes only once no client has come for this long
+constexpr Time kQuiet = 200'000;  // a last answer has this long to be read before the process ends
 constexpr Time kFirstListWithin = 2'500'000;  // a new process waits so long for its first list from discovery
 constexpr Time kDrainTick = 50'000;
 constexpr unsigned kLookForHolds = 100;  // ms: what another process of this node is told counts here soon
@@ -321,9 +321,6 @@
   }
 
   std::size_t clients() const { return downstream_.size() + (openai_ != nullptr ? openai_down_->size() : 0); }
-  Time last_arrival() const {
-    return std::max(downstream_.last_arrival(), openai_ != nullptr ? openai_down_->last_arrival() : 0);
-  }
 
   static std::size_t Share(const Config& config) {
     return config.sockets - kOwnSockets - Discovery::kSockets;
@@ -380,6 +377,7 @@
         config_.settings.max_attempts = now.settings.max_attempts;
         config_.settings_text = now.settings_text;
         decisions_.Retune(config_.settings.classes, config_.settings.max_attempts);
+        DrainSooner();
         Log(Level::kInfo, "retuned",
             {{"classes", config_.in_force.size()},
              {"versions", config_.settings.classes.size()},
@@ -387,7 +385,7 @@
       }
       if (openai_ != nullptr) openai_->ReloadKeys();
       ++tally_.reconfig_ok;
-    } catch (const std::runtime_error& e) {
+    } catch (const std::exception& e) {
       ++tally_.reconfig_failed;
       Log(Level::kError, "reload-failed",
           {{"file", file},
@@ -406,9 +404,7 @@
     hand_over_.Term();
     downstream_.Drain();
     if (openai_ != nullptr) openai_down_->Drain();
-    std::vector<policy::ClassSettings> in_force;
-    for (const std::size_t i : config_.in_force) in_force.push_back(config_.settings.classes[i]);
-    termination_ = PlanTermination(in_force);
+    termination_ = PlanTermination(ClassesInForce());
     Log(Level::kInfo, "draining",
         {{"streams", streams_.size()},
          {"clients", clients()},
@@ -419,18 +415,43 @@
     Tick();
   }
 
+  // Settings that come once the end has begun may bring it forward.
+  void DrainSooner() {
+    if (drain_began_ == 0) return;
+    termination_ = Earlier(termination_, PlanTermination(ClassesInForce()));
+    streams_.EndBy(drain_began_ + termination_.answer_by, drain_began_ + termination_.take_until);
+  }
+
+  std::vector<policy::ClassSettings> ClassesInForce() const {
+    std::vector<policy::ClassSettings> classes;
+    for (const std::size_t i : config_.in_force) classes.push_back(config_.settings.classes[i]);
+    return classes;
+  }
+
+  template <class Action>
+  void OnClientListeners(Action action) {
+    action(downstream_);
+    if (openai_down_ != nullptr) action(*openai_down_);
+  }
+
   // Guards against losing what was taken: requests come on old and new connections for a while after SIGTERM,
-  // and one in the kernel's queue counts as taken when the listener closes.
+  // and one in the kernel's queue counts as taken when the listener closes. Then against living until
+  // SIGKILL: as long as connections are taken or kept, one more request may be under way when it comes.
   void Tick() {
-    const Time now = Now();
-    if (now - drain_began_ >= termination_.close_idle || hand_over_.yielded()) {
-      downstream_.CloseIdle();
-      if (openai_ != nullptr) openai_down_->CloseIdle();
-      const bool quiet = hand_over_.yielded() || now - last_arrival() >= kQuiet;
-      const bool listened = hand_over_.yielded() || now - drain_began_ >= termination_.listen_until;
-      if (clients() == 0 && streams_.size() == 0 && quiet && listened) return Stop();
+    const Time since = Now() - drain_began_;
+    const bool listened = since >= termination_.listen_until || hand_over_.yielded();
+    if (since >= termination_.close_idle || hand_over_.yielded()) {
+      OnClientListeners([](Downstream& d) { d.CloseIdle(); });
+    }
+    if (listened) OnClientListeners([](Downstream& d) { d.StopAccepting(); });
+    if (since >= termination_.answer_by) OnClientListeners([](Downstream& d) { d.EndUnfinished(); });
+    if (listened && streams_.size() == 0) {
+      const Time quiet = since >= termination_.stop_by ? 0 : kQuiet;
+      bool settled = true;
+      OnClientListeners([&](Downstream& d) { settled = settled && d.Settled(quiet); });
+      if (settled) return Stop();
     }
-    deadlines_.Set(now + kDrainTick, [this] { Tick(); });
+    deadlines_.Set(Now() + kDrainTick, [this] { Tick(); });
   }
 
   void Stop() {
--- a/src/base/listener.cpp
+++ b/src/base/listener.cpp
@@ -1,5 +1,6 @@
 #include "base/listener.h"
 
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -89,6 +90,16 @@
                 [](uv_poll_t* p, int, int) { static_cast<Listener*>(p->data)->ready_(); });
 }
 
+// A socket filter that takes no packet (see BPF in packet(7)): without it a connection that comes up between
+// the last accept and the close would be reset, although its client may have sent a request already. Where
+// the system has no such filters, that short time remains.
+void Listener::StopNew() {
+  if (poll_ == nullptr) return;
+  sock_filter take_nothing = BPF_STMT(BPF_RET | BPF_K, 0);
+  const sock_fprog program{1, &take_nothing};
+  setsockopt(fd_, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+}
+
 void Listener::Close() {
   if (poll_ == nullptr) return;
   uv_poll_stop(poll_);
--- a/src/base/listener.h
+++ b/src/base/listener.h
@@ -25,7 +25,10 @@
 
   void Pause();   // connections wait in the kernel
   void Resume();  // and are told of again
-  void Close();   // those that still wait are reset
+  // No connection comes up any more; what the kernel has accepted can still be taken. Then Close loses
+  // nothing.
+  void StopNew();
+  void Close();  // those that still wait are reset
 
  private:
   uv_loop_t* loop_;
--- a/src/dialects/openai/openai_dialect.cpp
+++ b/src/dialects/openai/openai_dialect.cpp
@@ -101,7 +101,9 @@
       if (!opened_) return {Outcome::kError};
       return {done_ ? Outcome::kServed : Outcome::kReset};
     }
-    if (status == 429 || status == 503) return {Outcome::kFull, false, retry_after_};
+    // A 503 may also come from something between that lost the engine in the middle of its work: it proves
+    // nothing unless it says when to come back.
+    if (status == 429 || (status == 503 && retry_after_ > 0)) return {Outcome::kFull, false, retry_after_};
     if (status == 400 || status == 404 || status == 413 || status == 422) return {Outcome::kError, true};
     return {Outcome::kError, false, retry_after_};
   }
--- a/src/fronts/openai/api_error.cpp
+++ b/src/fronts/openai/api_error.cpp
@@ -18,6 +18,12 @@
                      (after + 999) / 1000);
 }
 
+ApiError WithoutRepeat(ApiError error) {
+  if (error.status == 429 || error.status == 503) error.status = 502;
+  error.retry_after = 0;
+  return error;
+}
+
 ApiError ErrorOfStatus(int status) {
   switch (status) {
     case 405:
--- a/src/fronts/openai/openai_front.cpp
+++ b/src/fronts/openai/openai_front.cpp
@@ -155,9 +155,12 @@
 // Whatever has been passed on, the client gets one clear end: an error answer, or an error event and no
 // [DONE].
 void OpenAiFront::Drop(Handle connection, const ApiError& e, Column column) {
-  if (!open_.contains(connection)) return;
+  const auto it = open_.find(connection);
+  if (it == open_.end()) return;
+  const bool may_repeat = core_->repeats->MayRepeat(it->second.stream);
   const Open o = Settle(connection, column);
   streams_->ClientGone(o.stream);
+  if (!o.begun && !may_repeat) return Error(connection, WithoutRepeat(e), o.headers + kNoRepeatHeader);
   if (!o.begun) return Error(connection, e, o.headers);
   Log(Level::kWarn, "stream-ended", {{"why", e.code}, {"id", o.request_id}});
   downstream_->Chunk(connection, "event: error\ndata: " + ErrorJson(e) + "\n\n");
@@ -452,12 +455,13 @@
 void OpenAiFront::OnFailed(Handle connection, policy::Outcome last) {
   if (!open_.contains(connection)) return;
   const Open o = Settle(connection, Column::kFailed);
+  // A failure, not a refusal: an attempt may have run, and a repeat is not known to be harmless.
+  const std::string headers = o.headers + kNoRepeatHeader;
   if (last == policy::Outcome::kTimeout) {
     return Error(connection, {504, "server_error", "upstream_timeout", "No model answered in time.", "", 0},
-                 o.headers);
+                 headers);
   }
-  Error(connection, {502, "server_error", "upstream_failed", "No model could answer.", "", kBrokenRetry},
-        o.headers);
+  Error(connection, {502, "server_error", "upstream_failed", "No model could answer.", "", 0}, headers);
 }
 
 // The replica's own words pass on once, in the API's shape whatever it spoke.
--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -133,14 +133,20 @@
     Client* slow = clients_.Get(handle);
     if (slow == nullptr) return;
     if (slow->state == State::kIdle) return Drop(handle, CloseReason::kSilent);
-    if (slow->state != State::kReading) return;
-    slow->state = State::kAnswering;
-    slow->keep_alive = false;
-    Log(Level::kWarn, "local-reply", {{"status", 408}, {"why", "slow-sender"}});
-    Error(handle, 408);
+    if (slow->state == State::kReading) Unfinished(handle, 408, "slow-sender");
   });
 }
 
+// The last answer of a connection whose request is not whole.
+void Downstream::Unfinished(Handle handle, int status, const char* why) {
+  Client& c = *clients_.Get(handle);
+  core_->deadlines->Cancel(c.deadline);
+  c.state = State::kAnswering;
+  c.keep_alive = false;
+  Log(Level::kWarn, "local-reply", {{"status", status}, {"why", why}});
+  Error(handle, status);
+}
+
 void Downstream::Accept() {
   for (int n = 0; n < kAcceptsAtOnce && listener_.listening(); ++n) {
     if (!MakeRoom() && clients_.size() >= most_ + surplus_) return AcceptLater("no-room");
@@ -184,7 +190,7 @@
   c.tcp = Tcp::New(core_->loop, core_->buffers, this, handle);
   c.surplus = surplus;
   http_parser_init(&c.parser, HTTP_REQUEST);
-  c.idle_since = last_arrival_ = Now();
+  c.idle_since = Now();
   if (!c.tcp->Open(fd)) return Drop(handle, CloseReason::kWriteFailed);
   if (options_.admits && !options_.admits(c.tcp->Peer())) {
     Log(Level::kWarn, "client-not-admitted");
@@ -232,11 +238,35 @@
   }
 }
 
-void Downstream::Yield() {
-  yielded_ = draining_ = true;
+void Downstream::StopAccepting() {
+  if (!listener_.listening()) return;
+  listener_.StopNew();
   TakeWaiting();
   waiting_ = false;
   StopListening();
+  Log(Level::kInfo, "listener-closed", {{"clients", clients_.size()}});
+}
+
+void Downstream::EndUnfinished() {
+  for (const Handle handle : clients_.All()) {
+    Client* c = clients_.Get(handle);
+    if (c != nullptr && c->state == State::kReading) Unfinished(handle, 503, "ending");
+  }
+}
+
+bool Downstream::Settled(Time quiet) const {
+  const Time now = Now();
+  for (const Handle handle : clients_.All()) {
+    const Client& c = *clients_.Get(handle);
+    const bool answered = c.state == State::kLingering && c.tcp->unsent() == 0;
+    if (!answered || now - c.idle_since < quiet) return false;
+  }
+  return true;
+}
+
+void Downstream::Yield() {
+  yielded_ = draining_ = true;
+  StopAccepting();
   CloseIdle();
   SweepIdle();
 }
@@ -354,7 +384,7 @@
   while (c != nullptr && !c->ahead.empty() && (c->state == State::kIdle || c->state == State::kReading)) {
     if (c->state == State::kIdle) {
       c->state = State::kReading;
-      c->request.first_byte = last_arrival_ = Now();
+      c->request.first_byte = Now();
       // The first request has its time from the connection's start on.
       if (c->used) Expire(handle, c->request.first_byte + options_.read_within);
     }
@@ -369,7 +399,6 @@
       core_->deadlines->Cancel(c->deadline);
       c->state = State::kAnswering;
       c->used = true;
-      last_arrival_ = Now();
       if (c->surplus && clients_.size() > most_ && !MakeRoom()) {
         Log(Level::kWarn, "local-reply", {{"status", 503}, {"why", "sockets"}, {"clients", clients_.size()}});
         c->keep_alive = false;
@@ -497,6 +526,7 @@
 // would reset it and could take the answer with it.
 void Downstream::Done(Handle handle) {
   Client& c = *clients_.Get(handle);
+  c.idle_since = Now();
   if (!c.keep_alive) {
     c.state = State::kLingering;
     c.congested = false;
@@ -506,7 +536,6 @@
     return Linger(handle);
   }
   c.state = State::kIdle;
-  c.idle_since = Now();
   c.request = HttpRequest(core_->buffers);
   c.value_next = c.complete = false;
   c.reject = 0;
--- a/src/http/downstream.h
+++ b/src/http/downstream.h
@@ -72,12 +72,15 @@
   void Yield();
   void TakeUp();  // listens again; throws std::runtime_error
   void Limit(std::size_t most_sockets);
-  void Drain();      // from here on every answer closes its connection
-  void CloseIdle();  // connections on which nothing is owed and nothing has begun
-  void Close();      // all, and the listener
+  void Drain();          // from here on every answer closes its connection
+  void StopAccepting();  // no new connection is taken; those that the kernel has accepted are
+  void CloseIdle();      // connections on which nothing is owed and nothing has begun
+  void EndUnfinished();  // a request that has begun to come and is not whole gets a 503
+  // Nothing is owed to any client, and every last answer has been out for at least `quiet` microseconds.
+  bool Settled(Time quiet) const;
+  void Close();  // all, and the listener
   bool draining() const { return draining_; }
   std::size_t size() const { return clients_.size(); }
-  Time last_arrival() const { return last_arrival_; }
   const CloseCounts& closed() const { return closed_; }  // connections closed so far, by reason
 
   void OnRead(Handle connection, std::string_view bytes) override;
@@ -120,6 +123,7 @@
   void Expire(Handle connection, Time at);
   static bool Idle(const Client& client);
   void Error(Handle connection, int status);
+  void Unfinished(Handle connection, int status, const char* why);
   void Done(Handle connection);
   void Linger(Handle connection);
   void Drop(Handle connection, CloseReason why);
@@ -135,7 +139,6 @@
   bool waiting_ = false;  // connections wait to be accepted, for want of room or of what the system lacks
   bool draining_ = false;
   bool yielded_ = false;
-  Time last_arrival_ = 0;
   CloseCounts closed_{};
   Slots<Client> clients_;
 };
--- a/tests/faults.cpp
+++ b/tests/faults.cpp
@@ -1,7 +1,9 @@
 // Scenarios of failures around a node as a process: system calls that fail for a while (a preloaded library),
 // clients that leave unseen, an early end, a list that is old. `faults PROGRAM LIBRARY NAME` plays one of
 // them.
+#include <atomic>
 #include <cerrno>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <thread>
@@ -165,6 +167,100 @@
   assert(node.Exit() == 0);
 }
 
+// Milliseconds until the node has ended by itself after SIGTERM; fails if it has not after `most`.
+long EndsWithin(const Node& node, long most) {
+  const auto began = std::chrono::steady_clock::now();
+  const auto gone = [&] {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - began)
+        .count();
+  };
+  while (!node.Ended()) {
+    assert(gone() < most);
+    usleep(1'000);
+  }
+  return gone();
+}
+
+nlohmann::json WithDeadline(const Node& node, long deadline_us) {
+  nlohmann::json settings = node.config()["settings"];
+  settings["classes"][0]["deadline"] = deadline_us;
+  settings["classes"][0]["promise"] = deadline_us / 2;
+  return settings;
+}
+
+// Clients that keep coming, each request on a connection of its own: every connection that came up is
+// answered, and the node has ended by itself before SIGKILL may come (1.7 s with a deadline of 1 s).
+void EndsWhileClientsKeepComing() {
+  const Peer host;
+  Node node(program, ListOf(host), kNobody);
+  node.Reload("settings", WithDeadline(node, 1'000'000));
+  node.WaitLog("retuned");
+  std::atomic<bool> over{false};
+  std::atomic<int> answered{0}, unanswered{0};
+  std::vector<std::thread> clients;
+  for (int n = 0; n < 8; ++n) {
+    clients.emplace_back([&, n] {
+      for (int k = 0; !over; ++k) {
+        const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const sockaddr_in to = Loopback(node.port());
+        const bool up = connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0;
+        const std::string ask = Ask(std::to_string(1 + n * 1'000'000 + k), "{}", "0.300");
+        char byte = 0;
+        if (up) {
+          const bool sent =
+              send(fd, ask.data(), ask.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(ask.size());
+          ++(sent && recv(fd, &byte, 1, 0) == 1 ? answered : unanswered);
+        }
+        close(fd);
+        if (!up) usleep(1'000);
+      }
+    });
+  }
+  usleep(300'000);
+  node.Term();
+  EndsWithin(node, 1'700);
+  over = true;
+  for (std::thread& client : clients) client.join();
+  std::printf("%d answered, %d not\n", answered.load(), unanswered.load());
+  assert(answered > 0 && unanswered == 0);
+}
+
+// What is left as the end comes: a request that is not whole gets an answer, a client that reads none of its
+// last answer's end keeps nothing alive.
+void EndsWithUnfinishedRequests() {
+  const Peer host;
+  Node node(program, ListOf(host), kNobody);
+  node.Reload("settings", WithDeadline(node, 1'000'000));
+  node.WaitLog("retuned");
+  Conn half = node.Client(), silent = node.Client();
+  half.Send(Ask("1").substr(0, 60));
+  node.Term();
+  node.WaitLog("draining");
+  usleep(700'000);
+  Conn late = node.Client();
+  late.Send(Ask("2"));
+  EndsWithin(node, 1'700);
+  assert(Has(half.Message(), " 503 ") && Has(late.Message(), " 503 "));
+}
+
+// Settings with shorter deadlines come after SIGTERM: SIGKILL may come by them.
+void EndsSoonerBySettings() {
+  const Peer host;
+  Node node(program, ListOf(host), kNobody);
+  Conn client = node.Client();
+  client.Send(Ask("1"));
+  Conn up = host.Accept();
+  up.Message();
+  node.Term();
+  node.WaitLog("draining");
+  node.Reload("settings", WithDeadline(node, 1'000'000));
+  node.Hup();
+  node.Term();
+  EndsWithin(node, 1'700);
+  assert(Has(client.Message(), " 503 "));
+  assert(Has(node.Log(), "draining-already"));
+}
+
 // The list that a node is given at its start may be old: it takes no client before discovery has told the
 // rest.
 void FirstListFirst() {
@@ -202,15 +298,19 @@
 
 int main(int argc, char** argv) {
   using namespace stories;
-  const std::map<std::string, std::function<void()>> all = {{"accept-fails", AcceptFails},
-                                                            {"accept-aborts", AcceptAborts},
-                                                            {"connect-fails-here", ConnectFailsHere},
-                                                            {"connect-fails-there", ConnectFailsThere},
-                                                            {"gone-behind-pipelined", GoneBehindPipelined},
-                                                            {"answers-pipelined", AnswersPipelinedAtTheEnd},
-                                                            {"ends-by-settings", EndsByTheSettings},
-                                                            {"first-list-first", FirstListFirst},
-                                                            {"pushed-lists", PushedLists}};
+  const std::map<std::string, std::function<void()>> all = {
+      {"accept-fails", AcceptFails},
+      {"accept-aborts", AcceptAborts},
+      {"connect-fails-here", ConnectFailsHere},
+      {"connect-fails-there", ConnectFailsThere},
+      {"gone-behind-pipelined", GoneBehindPipelined},
+      {"answers-pipelined", AnswersPipelinedAtTheEnd},
+      {"ends-by-settings", EndsByTheSettings},
+      {"ends-under-clients", EndsWhileClientsKeepComing},
+      {"ends-unfinished", EndsWithUnfinishedRequests},
+      {"ends-sooner", EndsSoonerBySettings},
+      {"first-list-first", FirstListFirst},
+      {"pushed-lists", PushedLists}};
   signal(SIGPIPE, SIG_IGN);
   assert(argc == 4 && all.contains(argv[3]));
   program = argv[1];
--- a/tests/node_parts_test.cpp
+++ b/tests/node_parts_test.cpp
@@ -1,10 +1,17 @@
 // Pure parts of the node: when a node that was told to end stops what, and what socket errors say.
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <uv.h>
 
 #include <cerrno>
 
 #include "app/termination_policy.h"
+#include "base/listener.h"
 #include "base/socket_error_model.h"
+#include "base/tcp.h"
 #include "base/whole_file.h"
 #include "core/start_times_model.h"
 
@@ -30,6 +37,9 @@
     const TerminationPlan plan = PlanFor({deadline});
     EXPECT_LT(plan.answer_by, plan.killed_from - 150'000);  // a node may be held up for 0.15 s
     EXPECT_LE(plan.take_until, plan.answer_by);
+    EXPECT_LT(plan.answer_by, plan.stop_by);
+    EXPECT_LE(plan.stop_by, plan.killed_from - 80'000);
+    EXPECT_LE(plan.listen_until, plan.answer_by);
     EXPECT_LE(plan.close_idle, plan.answer_by);
     // What comes later than 0.7 s after SIGTERM and is still under way at SIGKILL is lost.
     EXPECT_LT(plan.take_until, 700'000);
@@ -38,6 +48,44 @@
   }
 }
 
+TEST(Termination, SettingsThatComeOnceItHasBegunCanOnlyBringItForward) {
+  const TerminationPlan longer = PlanFor({3'000'000}), shorter = PlanFor({800'000});
+  for (const TerminationPlan& plan : {Earlier(longer, shorter), Earlier(shorter, longer)}) {
+    EXPECT_EQ(plan.killed_from, shorter.killed_from);
+    EXPECT_EQ(plan.stop_by, shorter.stop_by);
+    EXPECT_EQ(plan.answer_by, shorter.answer_by);
+    EXPECT_EQ(plan.take_until, shorter.take_until);
+  }
+}
+
+// Between the last accept and the close no connection may come up: it would be reset with a request on it.
+TEST(Listener, AfterStopNewNothingComesUpAndWhatCameUpCanBeTaken) {
+  uv_loop_t loop;
+  uv_loop_init(&loop);
+  Listener listener(&loop, [] {});
+  sockaddr_storage at{};
+  ASSERT_TRUE(ParseAddress(listener.Listen("127.0.0.1:0", false), &at));
+  const auto connects = [&] {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof(sockaddr_in));
+    pollfd up{fd, POLLOUT, 0};
+    const bool yes = poll(&up, 1, 200) == 1 && (up.revents & (POLLERR | POLLHUP)) == 0;
+    close(fd);
+    return yes;
+  };
+  EXPECT_TRUE(connects());
+  listener.StopNew();
+  EXPECT_FALSE(connects());
+  int error = 0;
+  const int waiting = listener.Accept(&error);
+  EXPECT_GE(waiting, 0);
+  close(waiting);
+  EXPECT_LT(listener.Accept(&error), 0);
+  listener.Close();
+  uv_run(&loop, UV_RUN_DEFAULT);
+  uv_loop_close(&loop);
+}
+
 TEST(SocketErrors, ABrokenConnectionIsSkippedAndAShortageIsWaitedOut) {
   EXPECT_EQ(AfterAcceptError(EAGAIN), AcceptStep::kNoneWaiting);
   for (const int error : {ECONNABORTED, EINTR, EPROTO, ENETUNREACH, EHOSTUNREACH}) {
--- a/tests/openai_front_test.cpp
+++ b/tests/openai_front_test.cpp
@@ -29,9 +29,10 @@
 }
 
 struct Story {
-  explicit Story(const StandInOptions& replica = {}, const std::string& limits = "",
-                 std::size_t replicas = 1) {
+  explicit Story(const StandInOptions& replica = {}, const std::string& limits = "", std::size_t replicas = 1,
+                 const std::string& effect = "free") {
     RigOptions o;
+    o.effect = effect;
     o.program = Program();
     o.replicas.assign(replicas, replica);
     o.key = "k";
@@ -192,6 +193,28 @@
   EXPECT_LT(late.ended - late.started, 5'000'000);
 }
 
+// Whatever breaks once a request may have run: with an effect that may not be repeated no status and no
+// header asks the client to come again. Official clients repeat 429 and every 5xx by themselves.
+TEST(OpenAiFront, NothingInvitesARepeatOfWhatMayHaveRun) {
+  for (const char* fault : {"error", "reset-before", "break", "error-event", "silent"}) {
+    Story s({}, "", 2, "single_shot");
+    const Reply r =
+        s.Chat(Body(std::string("#fault=") + fault), "Authorization: Bearer k\r\nx-deadline-ms: 700\r\n");
+    EXPECT_TRUE(r.status == 502 || r.status == 504) << fault << r.status;
+    EXPECT_EQ(r.Header("x-should-retry"), "false") << fault;
+    EXPECT_EQ(r.Header("retry-after"), "") << fault;
+    EXPECT_EQ(s.rig->witness().attempts, 1U) << fault;
+  }
+  Story cut({}, "tokens_per_min = 100", 2, "single_shot");  // the key's tokens are spent in the middle
+  const Reply spent =
+      cut.Chat(Body("long enough to outgrow what was reserved for its answer", ",\"max_tokens\":1000"));
+  EXPECT_NE(spent.status, 200);
+  Story free({}, "", 2, "free");
+  EXPECT_EQ(free.Chat(Body("#fault=break")).Header("x-should-retry"), "");
+  Story never({}, "", 2, "single_shot");  // turned away unseen: that is a refusal
+  EXPECT_EQ(never.Chat(Body("#fault=busy")).status, 503);
+}
+
 TEST(OpenAiFront, UsageThatLiesCountsNowhereButInItsOwnColumn) {
   Story s;
   const std::vector<std::pair<std::string, ledger::UsageFault>> lies = {
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -252,6 +252,11 @@
     }
   }
   void Term() const { kill(pid_, SIGTERM); }
+  bool Ended() const {
+    siginfo_t info{};
+    return waitid(P_PID, static_cast<id_t>(pid_), &info, WEXITED | WNOHANG | WNOWAIT) == 0 &&
+           info.si_pid == pid_;
+  }
   void Kill() {  // SIGKILL; there is nothing left to end
     kill(pid_, SIGKILL);
     waitpid(std::exchange(pid_, -1), nullptr, 0);
