--- a/lab/directory.cpp
+++ b/lab/directory.cpp
@@ -8,9 +8,15 @@
 
 constexpr Time kBeat = 2'000'000;  // an empty line while nothing changes
 
-nlohmann::json Instance(const std::string& name, const std::string& host_port, const std::string& lifecycle) {
-  return {{"instanceId", name}, {"hostPort", host_port}, {"zone", "z"},      {"machineType", "m"},
-          {"cell", 0},          {"weight", 1.0},         {"startedAtMs", 0}, {"lifecycle", lifecycle}};
+nlohmann::json Instance(const std::string& name, const std::string& host_port, const Listing& l) {
+  return {{"instanceId", name},
+          {"hostPort", host_port},
+          {"zone", l.zone},
+          {"machineType", "m"},
+          {"cell", l.cell},
+          {"weight", 1.0},
+          {"startedAtMs", l.started_at_ms},
+          {"lifecycle", l.lifecycle}};
 }
 
 }  // namespace
@@ -21,24 +27,32 @@
 std::string Directory::Text(bool whole) const {
   nlohmann::json instances = nlohmann::json::array();
   for (const Entry& e : entries_) {
-    if (whole && e.lifecycle == "left") continue;
-    instances.push_back(Instance(e.name, e.host_port, e.lifecycle));
+    if (whole && e.listing.lifecycle == "left") continue;
+    instances.push_back(Instance(e.name, e.host_port, e.listing));
   }
   return nlohmann::json({{"generation", generation_}, {"reset", whole}, {"instances", instances}}).dump();
 }
 
 void Directory::Set(const std::string& name, const std::string& host_port, const std::string& lifecycle) {
+  Listing listing;
+  listing.lifecycle = lifecycle;
+  Set(name, host_port, listing);
+}
+
+void Directory::Set(const std::string& name, const std::string& host_port, const Listing& listing) {
   const auto it =
       std::find_if(entries_.begin(), entries_.end(), [&](const Entry& e) { return e.name == name; });
   if (it == entries_.end()) {
-    entries_.push_back({name, host_port, lifecycle});
+    entries_.push_back({name, host_port, listing});
   } else {
-    *it = {name, host_port, lifecycle};
+    *it = {name, host_port, listing};
   }
   ++generation_;
   const nlohmann::json change = {
-      {"generation", generation_}, {"reset", false}, {"instances", {Instance(name, host_port, lifecycle)}}};
+      {"generation", generation_}, {"reset", false}, {"instances", {Instance(name, host_port, listing)}}};
+  if (silent_ || watches_.empty()) return;
   for (const Handle watch : watches_) server_.Chunk(watch, change.dump() + "\n");
+  if (told_) told_(name, listing.lifecycle);
 }
 
 void Directory::SetDark(bool dark) {
@@ -51,20 +65,37 @@
 void Directory::OnRequest(Handle connection, HttpRequest request) {
   if (dark_) return server_.Abort(connection);
   if (!request.target.starts_with("/catalog/members")) return server_.Reply(connection, 404, "", "");
-  if (request.target.find("follow=1") == std::string::npos) {
-    return server_.Reply(connection, 200, "Content-Type: application/json\r\n", Text(true));
+  if (silent_) return;
+  const bool follow = request.target.find("follow=1") != std::string::npos;
+  if (slow_by_ == 0) return Answer(connection, follow);
+  run_->deadlines->Set(Now() + slow_by_, [this, connection, follow] { Answer(connection, follow); });
+}
+
+void Directory::Answer(Handle connection, bool follow) {
+  if (dark_ || silent_ || !server_.Connected(connection)) return;
+  if (!follow) {
+    server_.Reply(connection, 200, "Content-Type: application/json\r\n", Text(true));
+    return TellAll();
   }
   watches_.insert(connection);
   server_.BeginChunks(connection, "Content-Type: application/json\r\n");
   server_.Chunk(connection, Text(true) + "\n");
+  TellAll();
   if (!beating_) Beat();
 }
 
+void Directory::TellAll() {
+  if (!told_) return;
+  for (const Entry& e : entries_) told_(e.name, e.listing.lifecycle);
+}
+
 void Directory::Beat() {
   beating_ = !watches_.empty();
   if (!beating_) return;
   run_->deadlines->Set(Now() + kBeat, [this] {
-    for (const Handle watch : watches_) server_.Chunk(watch, "\n");
+    for (const Handle watch : watches_) {
+      if (!silent_) server_.Chunk(watch, "\n");
+    }
     Beat();
   });
 }
--- a/lab/directory.h
+++ b/lab/directory.h
@@ -1,6 +1,8 @@
 // A stand-in for discovery: the list of stand-in replicas, whole or as a watch.
 #pragma once
 
+#include <cstdint>
+#include <functional>
 #include <set>
 #include <string>
 #include <utility>
@@ -11,6 +13,14 @@
 
 namespace ryeglade::lab {
 
+// What discovery tells of a replica beside its name and address.
+struct Listing {
+  std::string lifecycle = "active";  // "active", "leaving" or "left"
+  std::string zone = "z";
+  int cell = 0;
+  std::int64_t started_at_ms = 0;
+};
+
 class Directory : public Front {
  public:
   explicit Directory(const Runtime* run);
@@ -18,8 +28,17 @@
   void Close() { server_.Close(); }
   // Name and ip:port; lifecycle as discovery tells it: "active", "leaving" or "left".
   void Set(const std::string& name, const std::string& host_port, const std::string& lifecycle = "active");
+  void Set(const std::string& name, const std::string& host_port, const Listing& listing);
   // Dark: watches are cut off without a word, and every call is closed unanswered.
   void SetDark(bool dark);
+  // Silent: calls are taken and never answered, watches say nothing more.
+  void SetSilent(bool silent) { silent_ = silent; }
+  // Answers to calls come so much later, microseconds.
+  void SetSlow(Time by) { slow_by_ = by; }
+  // Called with a name and its lifecycle each time that a caller is told of it.
+  void OnTold(std::function<void(const std::string& name, const std::string& lifecycle)> told) {
+    told_ = std::move(told);
+  }
   std::string Text(bool whole) const;  // the list as discovery sends it
 
   void OnRequest(Handle connection, HttpRequest request) override;
@@ -28,8 +47,11 @@
 
  private:
   struct Entry {
-    std::string name, host_port, lifecycle;
+    std::string name, host_port;
+    Listing listing;
   };
+  void Answer(Handle connection, bool follow);
+  void TellAll();
   void Beat();
 
   const Runtime* run_;
@@ -37,7 +59,9 @@
   std::vector<Entry> entries_;
   std::set<Handle> watches_;
   int generation_ = 1;
-  bool beating_ = false, dark_ = false;
+  bool beating_ = false, dark_ = false, silent_ = false;
+  Time slow_by_ = 0;
+  std::function<void(const std::string&, const std::string&)> told_;
 };
 
 }  // namespace ryeglade::lab
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -23,6 +23,7 @@
 #include "lab/replay.h"
 #include "lab/rig.h"
 #include "lab/rollout/command.h"
+#include "lab/soak/command.h"
 
 namespace {
 
@@ -197,12 +198,14 @@
   ryeglade::load::Commands loads(app);
   ryeglade::cluster::Commands clusters(app);
   ryeglade::rollout_lab::Commands rollouts(app);
+  ryeglade::soak::Commands soaks(app);
 
   CLI11_PARSE(app, argc, argv);
   if (emulated.chosen()) return emulated.Run();
   if (experiments.chosen()) return experiments.Run();
   if (loads.chosen()) return loads.Run(NodeProgram(program));
   if (rollouts.chosen()) return rollouts.Run(NodeProgram(program));
+  if (soaks.chosen()) return soaks.Run(NodeProgram(program));
   if (clusters.chosen()) return clusters.Run(NodeProgram(program));
   const auto lines = [&] {
     return path.empty() ? MakeTrace(requests, seed, rate) : ReadTrace(ReadFile(path));
--- a/lab/node_process.cpp
+++ b/lab/node_process.cpp
@@ -52,6 +52,7 @@
     for (const char* variable : {"EDGE_CONFIG", "EDGE_NAME", "EDGE_LISTEN", "EDGE_DISCOVERY"})
       unsetenv(variable);
     if (!files.tmpdir.empty()) setenv("TMPDIR", files.tmpdir.c_str(), 1);
+    if (!files.preload.empty()) setenv("LD_PRELOAD", files.preload.c_str(), 1);
     const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
     if (fd >= 0) dup2(fd, STDERR_FILENO);
     if (files.settings.empty()) {
@@ -89,9 +90,32 @@
     waitpid(pid_, &status_, 0);
     pid_ = -1;
   }
+  return status();
+}
+
+int NodeProcess::status() const {
   return WIFEXITED(status_) ? WEXITSTATUS(status_) : 128 + WTERMSIG(status_);
 }
 
+// Whole, as a reader may come in between.
+void NodeProcess::Write(const std::string& config) const {
+  Put(directory_ + "/config.new", config);
+  std::filesystem::rename(directory_ + "/config.new", directory_ + "/config.json");
+}
+
+std::int64_t NodeProcess::WaitedForCore() const {
+  std::ifstream in("/proc/" + std::to_string(pid_) + "/schedstat");  // nanoseconds: run, waited; then slices
+  std::int64_t run = 0, waited = 0;
+  in >> run >> waited;
+  return waited / 1000;
+}
+
+std::size_t NodeProcess::Descriptors() const {
+  std::error_code error;
+  const std::filesystem::directory_iterator all("/proc/" + std::to_string(pid_) + "/fd", error);
+  return error ? 0 : static_cast<std::size_t>(std::distance(begin(all), end(all)));
+}
+
 NodeProcess::~NodeProcess() {
   Stop();
   std::error_code ignored;
--- a/lab/node_process.h
+++ b/lab/node_process.h
@@ -15,6 +15,7 @@
   std::string settings;  // TOML; empty: none
   std::string keys;      // the key file; empty: none. The settings name it as KEYS.
   std::string tmpdir;    // what the node sees as $TMPDIR; empty: this program's own
+  std::string preload;   // a library for the process (LD_PRELOAD); empty: none
 };
 
 class NodeProcess {
@@ -31,7 +32,11 @@
   const std::string& directory() const { return directory_; }
   bool Running();  // false: it has ended
   void Signal(int number) const;
-  int Stop();  // SIGTERM, and its exit code; 128 and more: it died of a signal
+  int Stop();          // SIGTERM, and its exit code; 128 and more: it died of a signal
+  int status() const;  // the same of one that has ended
+  void Write(const std::string& config) const;  // the configuration that SIGHUP reads again
+  std::size_t Descriptors() const;              // open now
+  std::int64_t WaitedForCore() const;           // microseconds for which it could have run and did not
   pid_t pid() const { return pid_; }
 
  private:
--- /dev/null
+++ b/lab/soak/command.cpp
@@ -0,0 +1,246 @@
+#include "lab/soak/command.h"
+
+#include <fmt/format.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <charconv>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <stdexcept>
+
+#include "lab/soak/checker_model.h"
+#include "lab/soak/plan.h"
+#include "lab/soak/play.h"
+#include "lab/soak/shrink.h"
+
+namespace ryeglade::soak {
+namespace {
+
+constexpr std::size_t kMostPages = 12;  // of evidence, for one play
+constexpr int kBroken = 1, kNotPlayed = 2;
+
+volatile sig_atomic_t interrupted = 0;
+
+void WatchSignals() {
+  for (const int number : {SIGINT, SIGTERM}) {
+    struct sigaction act {};
+    act.sa_handler = [](int) { interrupted = 1; };
+    sigaction(number, &act, nullptr);
+  }
+}
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) throw std::runtime_error("cannot read " + path);
+  return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+}
+
+void WriteFile(const std::string& path, const std::string& text) {
+  if (!(std::ofstream(path, std::ios::binary) << text).flush())
+    throw std::runtime_error("cannot write " + path);
+}
+
+std::uint64_t NumberOf(std::string_view text) {
+  std::uint64_t n = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), n);
+  if (error != std::errc() || end != text.data() + text.size()) {
+    throw std::runtime_error(
+        fmt::format("soak: --seeds takes a number or a range such as 1-50, not '{}'", text));
+  }
+  return n;
+}
+
+std::vector<std::uint64_t> SeedsOf(const std::string& text) {
+  const std::size_t dash = text.find('-');
+  const std::uint64_t first = NumberOf(std::string_view(text).substr(0, dash));
+  const std::uint64_t last =
+      dash == std::string::npos ? first : NumberOf(std::string_view(text).substr(dash + 1));
+  if (last < first || last - first >= 10'000)
+    throw std::runtime_error("soak: --seeds takes at most 10000, lowest first");
+  std::vector<std::uint64_t> seeds;
+  for (std::uint64_t seed = first; seed <= last; ++seed) seeds.push_back(seed);
+  return seeds;
+}
+
+std::string Row(const Plan& plan, const Verdict& v) {
+  std::string broken;
+  for (std::size_t n = 0; n < static_cast<std::size_t>(Rule::kCount); ++n) {
+    const auto rule = static_cast<Rule>(n);
+    if (v.Count(rule) > 0) broken += fmt::format(" {}={}", Word(rule), v.Count(rule));
+  }
+  std::size_t unknown = 0;
+  for (const auto& [why, n] : v.unknown) unknown += n;
+  return fmt::format("{:>6} {:>5} {:>8} {:>8} {:>8} {:>7} {:>8} {:>8} {:>7} {:>6} {:>6} |{}\n", plan.seed,
+                     plan.nodes, plan.replicas.size(), v.requests, v.served, v.refused, v.failed, v.attempts,
+                     unknown, v.ended, v.killed, broken.empty() ? " -" : broken);
+}
+
+void PrintHead() {
+  std::printf("%6s %5s %8s %8s %8s %7s %8s %8s %7s %6s %6s | rules broken\n", "seed", "nodes", "replicas",
+              "requests", "served", "refused", "failed", "attempts", "unknown", "ended", "killed");
+  std::fflush(stdout);
+}
+
+// Files of one play, named after its seed.
+void Report(const std::string& directory, const Plan& plan, const Played& played, const Verdict& v) {
+  std::filesystem::create_directories(directory);
+  const std::string stem = fmt::format("{}/seed-{}", directory, plan.seed);
+  WriteFile(stem + ".plan.json", PlanText(plan));
+  std::string unknown;
+  for (const auto& [why, n] : v.unknown) unknown += fmt::format("{:>6} {}\n", n, why);
+  WriteFile(stem + ".unknown.txt", unknown);
+  for (std::size_t n = 0; n < std::min(v.breaches.size(), kMostPages); ++n) {
+    WriteFile(fmt::format("{}.{}-{}.txt", stem, n + 1, Word(v.breaches[n].rule)),
+              Evidence(played, v.breaches[n]));
+  }
+  if (v.breaches.empty()) return;
+  for (std::size_t n = 0; n < played.logs.size(); ++n) {
+    WriteFile(fmt::format("{}.n{}-process-{}.log", stem, played.history.processes[n].node, n),
+              played.logs[n]);
+  }
+}
+
+// One play in this process: its row on standard output.
+int PlayOne(const Plan& plan, const PlayOptions& options, const std::string& report, bool pages) {
+  const Played played = Play(plan, options);
+  const Verdict v = Judge(played.history);
+  std::fputs(Row(plan, v).c_str(), stdout);
+  if (!report.empty()) Report(report, plan, played, v);
+  if (pages) {
+    for (const auto& [why, n] : v.unknown) std::printf("  %6zu not judged: %s\n", n, why.c_str());
+    for (const Breach& b : v.breaches) std::printf("\n%s", Evidence(played, b).c_str());
+  }
+  std::fflush(stdout);
+  return v.breaches.empty() ? 0 : kBroken;
+}
+
+// Each play in a process of its own, so that one that fails takes nothing with it.
+class Jobs {
+ public:
+  explicit Jobs(std::size_t most) : most_(most) {}
+
+  template <class Work>
+  void Add(std::uint64_t seed, Work work) {
+    while (running_.size() >= most_) Wait();
+    const pid_t pid = fork();
+    if (pid < 0) throw std::runtime_error("soak: cannot start a process");
+    if (pid == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGTERM);
+      int code = kNotPlayed;
+      try {
+        code = work();
+      } catch (const std::exception& e) {
+        std::fprintf(stderr, "ryeglade-lab: seed %llu: %s\n", static_cast<unsigned long long>(seed),
+                     e.what());
+      }
+      std::fflush(nullptr);
+      _exit(code);
+    }
+    running_[pid] = seed;
+  }
+
+  // Waits for all of them; how many broke a rule, and how many were not played to the end.
+  void Finish() {
+    while (!running_.empty()) Wait();
+  }
+  std::size_t broken = 0, not_played = 0;
+
+ private:
+  void Wait() {
+    int status = 0;
+    const pid_t pid = waitpid(-1, &status, 0);
+    if (pid < 0) {
+      if (errno == EINTR) {
+        for (const auto& [child, seed] : running_) kill(child, SIGTERM);
+      }
+      return;
+    }
+    if (running_.erase(pid) == 0) return;
+    const int code = WIFEXITED(status) ? WEXITSTATUS(status) : kNotPlayed;
+    if (code == kBroken) ++broken;
+    if (code > kBroken) ++not_played;
+  }
+
+  std::size_t most_;
+  std::map<pid_t, std::uint64_t> running_;
+};
+
+}  // namespace
+
+Commands::Commands(CLI::App& app) {
+  soak_ = app.add_subcommand(
+      "soak", "real processes under faults drawn from seeds, judged by the rules of the pages");
+  soak_->add_option("--seeds", seeds_, "one, or a range such as 1-50");
+  soak_->add_option("--seconds", seconds_, "of each play's schedule")->check(CLI::Range(8.0, 3600.0));
+  soak_->add_option("--jobs", jobs_, "plays side by side")
+      ->check(CLI::Range(std::size_t{1}, std::size_t{16}));
+  soak_->add_option("--report", report_, "a directory that gets each play's plan, evidence and logs");
+  soak_->add_flag("--replay", replay_, "print the evidence of every breach");
+  soak_->add_option("--without", without_, "faults to leave out, by their words in a plan")->delimiter(',');
+  soak_->add_option("--plan", plan_, "play this plan instead of one drawn from a seed");
+  soak_->add_option("--write-plan", write_plan_,
+                    "write the plan of the first seed to a file, and play nothing");
+  soak_->add_option("--preload", preload_, "a library for the nodes' processes");
+  soak_->add_flag("--shrink", shrink_,
+                  "look for the fewest faults of --plan that still break its first rule");
+  soak_->add_option("--most-plays", most_plays_, "of --shrink")
+      ->check(CLI::Range(std::size_t{1}, std::size_t{1000}));
+}
+
+bool Commands::chosen() const { return soak_->parsed(); }
+
+int Commands::Run(const std::string& node_program) {
+  const std::vector<std::uint64_t> seeds = SeedsOf(seeds_);
+  const auto length = static_cast<Time>(seconds_ * 1e6);
+  if (!write_plan_.empty()) {
+    WriteFile(write_plan_, PlanText(MakePlan(seeds.front(), length)));
+    return 0;
+  }
+  WatchSignals();
+  if (!plan_.empty()) return PlayFile(node_program);
+  PlayOptions options;
+  options.program = node_program;
+  options.preload = preload_;
+  options.interrupted = [] { return interrupted != 0; };
+  for (const std::string& word : without_) options.without.insert(FaultKindOf(word));
+  PrintHead();
+  Jobs jobs(jobs_);
+  for (const std::uint64_t seed : seeds) {
+    if (interrupted != 0) break;
+    jobs.Add(seed, [&, seed] { return PlayOne(MakePlan(seed, length), options, report_, replay_); });
+  }
+  jobs.Finish();
+  std::printf("%zu seeds, %zu with a rule broken, %zu not played to the end\n", seeds.size(), jobs.broken,
+              jobs.not_played);
+  return jobs.broken == 0 && jobs.not_played == 0 && interrupted == 0 ? 0 : 1;
+}
+
+int Commands::PlayFile(const std::string& node_program) {
+  Plan plan = ReadPlan(ReadFile(plan_));
+  PlayOptions options;
+  options.program = node_program;
+  options.preload = preload_;
+  options.interrupted = [] { return interrupted != 0; };
+  for (const std::string& word : without_) options.without.insert(FaultKindOf(word));
+  if (shrink_) {
+    const Shrunk shrunk = Shrink(plan, options, most_plays_);
+    std::printf("%zu of %zu faults still break rule %s, after %zu plays\n", shrunk.plan.faults.size(),
+                plan.faults.size(), Word(shrunk.rule), shrunk.plays);
+    if (!report_.empty()) {
+      std::filesystem::create_directories(report_);
+      WriteFile(fmt::format("{}/seed-{}.shrunk.json", report_, plan.seed), PlanText(shrunk.plan));
+    }
+    return 0;
+  }
+  PrintHead();
+  return PlayOne(plan, options, report_, replay_);
+}
+
+}  // namespace ryeglade::soak
--- /dev/null
+++ b/lab/soak/command.h
@@ -0,0 +1,33 @@
+// `ryeglade-lab soak`: plays plans drawn from seeds and prints what the checker says of each.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace CLI {
+class App;
+}
+
+namespace ryeglade::soak {
+
+class Commands {
+ public:
+  explicit Commands(CLI::App& app);  // adds it; must live as long as the app
+  bool chosen() const;
+  // Its exit code: 0, or 1 where a rule was broken. Throws std::runtime_error.
+  int Run(const std::string& node_program);
+
+ private:
+  int PlayFile(const std::string& node_program);
+
+  CLI::App* soak_;
+  std::string seeds_ = "1", report_, plan_, write_plan_, preload_;
+  std::vector<std::string> without_;
+  double seconds_ = 40;
+  std::size_t jobs_ = 1;
+  bool replay_ = false, shrink_ = false;
+  std::size_t most_plays_ = 40;
+};
+
+}  // namespace ryeglade::soak
--- /dev/null
+++ b/lab/soak/history_model.h
@@ -0,0 +1,154 @@
+// What a soak saw from outside of the nodes: the clients' requests, the attempts at replicas, the processes,
+// what discovery told. The checker judges by this alone. All times are microseconds of one monotonic clock;
+// 0: never.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "ryeglade/router.h"
+
+namespace ryeglade::soak {
+
+using policy::Time;
+
+// What the settings say of a class, as far as the rules go by it.
+struct ClassRules {
+  policy::Effect effect = policy::Effect::kSafe;
+  policy::DedupScope scope = policy::DedupScope::kAll;
+  Time window = 0;
+  Time deadline = 0;
+};
+using ClassTable = std::map<std::string, ClassRules>;
+
+// Bytes that were written, or came, at once.
+struct Piece {
+  Time at = 0;
+  std::string bytes;
+};
+
+enum class ClientEnd : std::uint8_t {
+  kOpen,      // the soak was over first
+  kServed,    // 200 and the last chunk
+  kRefused,   // 429 or 503
+  kFailed,    // any other status
+  kCut,       // 200 began, and the connection ended without the last chunk
+  kNoAnswer,  // the connection ended without a byte of an answer
+  kTimedOut,  // nothing came until the client gave up, well after its budget
+  kLeft,      // the client closed the connection by its own plan
+  kNotAsked,  // no connection came up, or it broke under the request
+};
+
+struct ClientRequest {
+  std::string id, cls;
+  std::size_t node = 0;
+  Time connected = 0;  // when its connection came up
+  Time sent = 0;       // its last byte
+  Time budget = 0;
+  Time left = 0;  // when the client closed or half-closed the connection by its own plan
+  Time ended = 0;
+  bool reused = false;       // its connection had carried an answer before
+  bool behind = false;       // it was written behind another request, before that one's answer
+  bool half_closed = false;  // `left` was the end of its sending only
+  bool slow_reader = false;
+  ClientEnd end = ClientEnd::kOpen;
+  int status = 0;
+  std::vector<Piece> events;  // of the body
+};
+
+enum class AttemptEnd : std::uint8_t {
+  kOpen,        // the soak was over first
+  kWhole,       // answered to the last chunk
+  kRejected,    // turned away unseen, which the answer says
+  kError,       // an error status
+  kReset,       // the replica, or the link to it, broke the connection
+  kNodeClosed,  // the node gave it up
+};
+
+struct Attempt {
+  std::string id;
+  std::size_t node = 0, replica = 0;
+  Time began = 0;  // its first byte came from the node
+  Time taken = 0;  // its last byte came to the replica, which may run it from here on
+  Time ended = 0;
+  Time budget = 0;  // that the node told
+  AttemptEnd end = AttemptEnd::kOpen;
+  std::vector<Piece> events;
+  // Whether it may have had an effect, as far as anybody can tell.
+  bool MayHaveRun() const { return taken != 0 && end != AttemptEnd::kRejected; }
+};
+
+struct Replica {
+  std::string name;
+  int zone = 0, cell = 0;
+};
+
+struct Span {
+  Time from = 0, to = 0;
+};
+
+// One process of a node, from its start to its end.
+struct Process {
+  std::size_t node = 0;
+  Time started = 0;
+  Time ready = 0;         // takes clients
+  Time told_end = 0;      // the first SIGTERM
+  Time may_kill = 0;      // SIGKILL was due then, by the settings
+  Time killed = 0;        // it was sent, as the process had not ended
+  bool shot = false;      // SIGKILL without a SIGTERM, by the plan
+  bool replaced = false;  // another process of the node took over beside it
+  Time ended = 0;
+  int status = -1;          // exit code; 128 and more: a signal
+  std::vector<Span> stops;  // it was held up: by SIGSTOP, or as it waited for a core
+  std::size_t first_descriptors = 0, last_descriptors = 0;
+  std::string counters;  // as last read
+};
+
+// The class table that a node was told to use.
+struct SettingsChange {
+  std::size_t node = 0;
+  Time at = 0;
+  ClassTable classes;
+};
+
+// A replica stopped wanting new requests (or wants them again), as one node was told.
+struct ListChange {
+  std::size_t node = 0, replica = 0;
+  Time at = 0;       // discovery has it
+  Time written = 0;  // it was written to the node's process of that time
+  bool wanted = false;
+};
+
+// Nothing passed between a replica and the nodes from, to, or all connections were reset then.
+struct LinkFault {
+  std::size_t replica = 0;
+  Time from = 0, to = 0;
+};
+
+// A connection that was opened to do harm: it stopped in the middle of a request.
+struct BadClient {
+  std::size_t node = 0;
+  Time began = 0, ended = 0;
+  bool answered = false;
+};
+
+struct History {
+  Time begin = 0, end = 0;
+  bool resume = false;         // clients ask for the rest of a stream that broke
+  bool crowd = false;          // idle connections fill the descriptors
+  std::vector<Span> lab_lags;  // the lab itself was held up, and saw everything late
+  std::vector<Replica> replicas;
+  std::vector<ClientRequest> requests;
+  std::vector<Attempt> attempts;
+  std::vector<Process> processes;
+  std::vector<SettingsChange> settings;
+  std::vector<ListChange> list;
+  std::vector<LinkFault> link_faults;
+  std::vector<BadClient> bad_clients;
+};
+
+}  // namespace ryeglade::soak
--- /dev/null
+++ b/lab/soak/link_relay.cpp
@@ -0,0 +1,185 @@
+#include "lab/soak/link_relay.h"
+
+#include <netinet/in.h>
+
+#include <stdexcept>
+#include <utility>
+
+namespace ryeglade::soak {
+namespace {
+
+constexpr Time kLookAgain = 20'000;  // at a silent link, for what it holds
+
+int PortOf(const sockaddr_storage& address) {
+  return ntohs(reinterpret_cast<const sockaddr_in&>(address).sin_port);
+}
+
+}  // namespace
+
+std::string LinkRelay::Add(const std::string& replica) {
+  const std::size_t n = links_.size();
+  links_.push_back(std::make_unique<Link>());
+  Link& link = *links_.back();
+  if (!ParseAddress(replica, &link.replica)) throw std::runtime_error("no address: " + replica);
+  link.listener = std::make_unique<Listener>(run_->loop, [this, n] { Accept(n); });
+  return link.listener->Listen("127.0.0.1:0", false);
+}
+
+void LinkRelay::Close() {
+  if (std::exchange(ended_, true)) return;
+  for (const Handle side : sides_.All()) Drop(side);
+  for (const auto& link : links_) link->listener->Close();
+}
+
+void LinkRelay::SetLate(std::size_t link, bool late) {
+  Link& l = *links_[link];
+  l.late = late;
+  late || l.silent ? l.listener->StopNew() : l.listener->TakeNew();
+}
+
+void LinkRelay::SetSilent(std::size_t link, bool silent) {
+  Link& l = *links_[link];
+  l.silent = silent;
+  silent || l.late ? l.listener->StopNew() : l.listener->TakeNew();
+  if (!silent) ResetAll(link);
+}
+
+void LinkRelay::ResetAll(std::size_t link) {
+  for (const Handle handle : sides_.All()) {
+    Side* s = sides_.Get(handle);
+    if (s == nullptr || s->link != link || !s->from_node) continue;
+    s->tcp->Reset();
+    Drop(handle);
+  }
+}
+
+const LinkView* LinkRelay::ViewOf(std::size_t link, int port) const {
+  const auto it = views_.find({link, port});
+  return it == views_.end() ? nullptr : &it->second;
+}
+
+void LinkRelay::Accept(std::size_t link) {
+  Link& l = *links_[link];
+  for (int error = 0;;) {
+    const int fd = l.listener->Accept(&error);
+    if (fd < 0) return;
+    const Handle in = sides_.Add({});
+    Side* a = sides_.Get(in);
+    a->tcp = Tcp::New(run_->loop, run_->buffers, this, in);
+    a->link = link;
+    a->from_node = a->connected = true;
+    if (!a->tcp->Open(fd)) {
+      Drop(in);
+      continue;
+    }
+    const Handle out = sides_.Add({});
+    a = sides_.Get(in);
+    Side* b = sides_.Get(out);
+    b->tcp = Tcp::New(run_->loop, run_->buffers, this, out);
+    b->link = link;
+    a->other = out;
+    b->other = in;
+    if (b->tcp->Connect(l.replica) != 0) {
+      Drop(in);
+      continue;
+    }
+    a->tcp->Read();
+  }
+}
+
+void LinkRelay::OnConnected(Handle side, int status) {
+  Side* b = sides_.Get(side);
+  if (b == nullptr) return;
+  if (status != 0) return Drop(side);
+  b->connected = true;
+  b->port = PortOf(b->tcp->Local());
+  LinkView view;
+  view.up = Now();
+  if (Side* a = sides_.Get(b->other)) {
+    a->port = b->port;
+    if (!a->held.empty()) view.began = Now();
+  }
+  views_[{b->link, b->port}] = view;
+  b->tcp->Read();
+  Move(b->other);
+}
+
+void LinkRelay::OnRead(Handle side, std::string_view bytes) {
+  Side* a = sides_.Get(side);
+  if (a == nullptr) return;
+  Link& l = *links_[a->link];
+  if (a->from_node && l.reset_under > 0 && bytes.starts_with("POST ")) {
+    --l.reset_under;
+    a->tcp->Reset();
+    return Drop(side);
+  }
+  if (a->port != 0) {
+    LinkView& view = views_[{a->link, a->port}];
+    if (!a->from_node) view.began = 0;
+    if (a->from_node && view.began == 0) view.began = Now();
+  }
+  a->held.emplace_back(bytes);
+  Move(side);
+}
+
+// The next piece goes over the link; the others wait behind it.
+void LinkRelay::Move(Handle side) {
+  Side* a = sides_.Get(side);
+  if (a == nullptr || a->moving) return;
+  Side* b = sides_.Get(a->other);
+  if (b == nullptr || !b->connected) return;
+  const Link& l = *links_[a->link];
+  while (l.delay == 0 && !l.silent && !a->held.empty()) {
+    const std::string piece = std::move(a->held.front());
+    a->held.pop_front();
+    if (!b->tcp->Write(piece)) return Drop(side);
+  }
+  if (a->held.empty()) {
+    if (a->ended) Drop(side);
+    return;
+  }
+  a->moving = true;
+  const bool silent = l.silent;
+  run_->deadlines->Set(Now() + (silent ? kLookAgain : l.delay), [this, side, silent] {
+    Side* s = sides_.Get(side);
+    if (s == nullptr) return;
+    s->moving = false;
+    Side* o = sides_.Get(s->other);
+    if (!silent && !links_[s->link]->silent && o != nullptr && !s->held.empty()) {
+      const std::string piece = std::move(s->held.front());
+      s->held.pop_front();
+      if (!o->tcp->Write(piece)) return Drop(side);
+    }
+    Move(side);
+  });
+}
+
+void LinkRelay::OnEnded(Handle side) {
+  Side* a = sides_.Get(side);
+  if (a == nullptr) return;
+  if (a->from_node) {
+    // Whatever is still held goes nowhere: the node has given the connection up.
+    if (a->port != 0) {
+      views_[{a->link, a->port}].closed = Now();
+      if (closed_) closed_(a->link, a->port);
+    }
+    return Drop(side);
+  }
+  a->ended = true;
+  if (a->held.empty()) Drop(side);
+}
+
+// Both ends together.
+void LinkRelay::Drop(Handle side) {
+  Side* s = sides_.Get(side);
+  if (s == nullptr) return;
+  const Handle other = s->other;
+  s->tcp->Close();
+  sides_.Remove(side);
+  if (Side* o = sides_.Get(other)) {
+    o->tcp->Close();
+    sides_.Remove(other);
+  }
+}
+
+}  // namespace ryeglade::soak
--- /dev/null
+++ b/lab/soak/plan.cpp
@@ -0,0 +1,389 @@
+#include "lab/soak/plan.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "lab/emulator/random.h"
+
+namespace ryeglade::soak {
+namespace {
+
+using emulator::Stream;
+using nlohmann::json;
+using policy::DedupScope;
+using policy::Effect;
+
+constexpr Time kSecond = 1'000'000;
+constexpr Time kMillisecond = 1'000;
+
+constexpr std::array<const char*, static_cast<std::size_t>(FaultKind::kCount)> kWords = {
+    "term",       "term-twice", "hup",       "hup-settings", "kill",  "stop",        "hot-restart",
+    "hang",       "stall",      "break",     "reset",        "error", "reject",      "slow",
+    "close-idle", "drain",      "restart",   "late",         "delay", "reset-links", "reset-under",
+    "dark",       "silent",     "slow-list", "leave"};
+
+constexpr std::array<const char*, 3> kEffects = {"free", "guarded", "single_shot"};
+constexpr std::array<const char*, 3> kScopes = {"all", "zone", "cell"};
+
+template <std::size_t N>
+std::size_t IndexOf(const std::array<const char*, N>& words, const std::string& word, const char* what) {
+  for (std::size_t i = 0; i < N; ++i) {
+    if (word == words[i]) return i;
+  }
+  throw std::runtime_error(fmt::format("plan: '{}' is no {}", word, what));
+}
+
+Time Between(Stream& chance, Time low, Time high) {
+  return low + static_cast<Time>(chance.Unit() * static_cast<double>(high - low));
+}
+
+// One class for each way in which repeats can be harmless or not, some seeds with short deadlines only.
+ClassTable MakeClasses(Stream& chance) {
+  struct Row {
+    const char* name;
+    Effect effect;
+    DedupScope scope;
+  };
+  static constexpr std::array<Row, 5> kRows = {{{"free", Effect::kSafe, DedupScope::kAll},
+                                                {"single", Effect::kUnsafe, DedupScope::kAll},
+                                                {"all", Effect::kKeyed, DedupScope::kAll},
+                                                {"zone", Effect::kKeyed, DedupScope::kZone},
+                                                {"cell", Effect::kKeyed, DedupScope::kCell}}};
+  const Time most = chance.Chance(0.2) ? 1'500 * kMillisecond : 8 * kSecond;
+  ClassTable table;
+  for (const Row& row : kRows) {
+    ClassRules c;
+    c.effect = row.effect;
+    c.scope = row.scope;
+    c.deadline = Between(chance, 500 * kMillisecond, most);
+    c.window = Between(chance, 300 * kMillisecond, 5 * kSecond);
+    table[row.name] = c;
+  }
+  return table;
+}
+
+// The same classes with other deadlines; one of the others' effects is another one.
+ClassTable OtherClasses(const ClassTable& classes, Stream& chance) {
+  ClassTable other = classes;
+  for (auto& [name, c] : other) c.deadline = Between(chance, 500 * kMillisecond, 6 * kSecond);
+  ClassRules& changed =
+      std::next(other.begin(), static_cast<std::ptrdiff_t>(chance.Below(other.size())))->second;
+  changed.effect = static_cast<Effect>(chance.Below(3));
+  return other;
+}
+
+class Drawer {
+ public:
+  Drawer(Plan* plan, Stream* chance) : plan_(*plan), chance_(*chance) {}
+
+  // Nodes end one after another, as in a release, mostly while replicas hang; and everything else beside it.
+  void Draw() {
+    const Time length = plan_.length;
+    Time at = Between(chance_, 2 * kSecond, 4 * kSecond);
+    for (std::size_t n = 0; at < length - 6 * kSecond; ++n) {
+      Release(at, n % plan_.nodes);
+      at += Between(chance_, 2 * kSecond, 6 * kSecond);
+    }
+    const std::size_t others = 8 + chance_.Below(14);
+    for (std::size_t n = 0; n < others; ++n) Other(Between(chance_, kSecond, length - 4 * kSecond));
+    std::stable_sort(plan_.faults.begin(), plan_.faults.end(),
+                     [](const Fault& a, const Fault& b) { return a.at < b.at; });
+  }
+
+ private:
+  Fault& Add(Time at, FaultKind kind, Time lasts = 0, double share = 1) {
+    Fault f;
+    f.at = at;
+    f.kind = kind;
+    f.node = chance_.Below(plan_.nodes);
+    f.replica = chance_.Below(plan_.replicas.size());
+    f.lasts = lasts;
+    f.share = share;
+    return plan_.faults.emplace_back(f);
+  }
+
+  void Release(Time at, std::size_t node) {
+    const double draw = chance_.Unit();
+    const FaultKind kind = draw < 0.7    ? FaultKind::kTerm
+                           : draw < 0.85 ? FaultKind::kTermTwice
+                                         : FaultKind::kHotRestart;
+    Add(at, kind).node = node;
+    if (chance_.Chance(0.7)) {
+      const std::size_t hanging = 1 + chance_.Below(std::max<std::size_t>(1, plan_.replicas.size() / 2));
+      for (std::size_t k = 0; k < hanging; ++k) {
+        const Time before = Between(chance_, 0, 600 * kMillisecond);
+        Add(std::max<Time>(0, at - before), FaultKind::kHang, Between(chance_, kSecond, 5 * kSecond),
+            chance_.Chance(0.5) ? 1 : 0.3);
+      }
+    }
+    // Settings in series, before, during and after it.
+    if (!chance_.Chance(0.4)) return;
+    const std::size_t series = 1 + chance_.Below(3);
+    for (std::size_t k = 0; k < series; ++k) {
+      Add(at + Between(chance_, -900 * kMillisecond, 900 * kMillisecond),
+          chance_.Chance(0.6) ? FaultKind::kHupSettings : FaultKind::kHup)
+          .node = node;
+    }
+  }
+
+  void Other(Time at) {
+    switch (chance_.Below(19)) {
+      case 0:
+        Add(at, FaultKind::kHupSettings);
+        return;
+      case 1:
+        Add(at, FaultKind::kKill);
+        return;
+      case 2:
+        Add(at, FaultKind::kStop, Between(chance_, 20 * kMillisecond, 150 * kMillisecond));
+        return;
+      case 3:
+        Add(at, FaultKind::kStop, Between(chance_, 500 * kMillisecond, 2'500 * kMillisecond));
+        return;
+      case 4:
+        Add(at, FaultKind::kStall, Between(chance_, kSecond, 4 * kSecond), 0.5);
+        return;
+      case 5:
+        Add(at, FaultKind::kBreak, Between(chance_, kSecond, 6 * kSecond), 0.3);
+        return;
+      case 6:
+        Add(at, FaultKind::kReset, Between(chance_, kSecond, 6 * kSecond), 0.4);
+        return;
+      case 7:
+        Add(at, FaultKind::kError, Between(chance_, kSecond, 6 * kSecond), 0.5);
+        return;
+      case 8:
+        Add(at, FaultKind::kReject, Between(chance_, kSecond, 4 * kSecond), 0.7);
+        return;
+      case 9:
+        Add(at, FaultKind::kSlow, Between(chance_, kSecond, 6 * kSecond));
+        return;
+      case 10:
+        Add(at, FaultKind::kCloseIdle, Between(chance_, 2 * kSecond, 8 * kSecond));
+        return;
+      case 11:
+        Add(at, FaultKind::kDrain, Between(chance_, 2 * kSecond, 5 * kSecond));
+        return;
+      case 12:
+        Add(at, FaultKind::kRestart, Between(chance_, kSecond, 4 * kSecond));
+        return;
+      case 13:
+        Add(at, FaultKind::kLate, Between(chance_, kSecond, 5 * kSecond));
+        return;
+      case 14:
+        Add(at, FaultKind::kDelay, Between(chance_, kSecond, 5 * kSecond));
+        return;
+      case 15:
+        Add(at, FaultKind::kResetLinks);
+        return;
+      case 16:
+        Add(at, FaultKind::kResetUnder, 0, 1);
+        return;
+      case 17:
+        Discovery(at);
+        return;
+      default:
+        Add(at, FaultKind::kLeave);
+        return;
+    }
+  }
+
+  // Often drains fall into it, or right behind it.
+  void Discovery(Time at) {
+    static constexpr std::array<FaultKind, 3> kKinds = {FaultKind::kDark, FaultKind::kSilent,
+                                                        FaultKind::kSlowList};
+    const Time lasts = Between(chance_, kSecond, 7 * kSecond);
+    Add(at, kKinds[chance_.Below(kKinds.size())], lasts);
+    if (chance_.Chance(0.6)) {
+      Add(at + Between(chance_, 0, lasts + kSecond), FaultKind::kDrain,
+          Between(chance_, 3 * kSecond, 6 * kSecond));
+    }
+  }
+
+  Plan& plan_;
+  Stream& chance_;
+};
+
+// ---- The file ----
+
+json TableJson(const ClassTable& table) {
+  json out = json::object();
+  for (const auto& [name, c] : table) {
+    out[name] = {{"effect", kEffects[static_cast<std::size_t>(c.effect)]},
+                 {"scope", kScopes[static_cast<std::size_t>(c.scope)]},
+                 {"window_us", c.window},
+                 {"deadline_us", c.deadline}};
+  }
+  return out;
+}
+
+ClassTable TableOf(const json& in) {
+  ClassTable table;
+  for (const auto& [name, c] : in.items()) {
+    ClassRules rules;
+    rules.effect = static_cast<Effect>(IndexOf(kEffects, c.at("effect").get<std::string>(), "effect"));
+    rules.scope = static_cast<DedupScope>(IndexOf(kScopes, c.at("scope").get<std::string>(), "scope"));
+    rules.window = c.at("window_us").get<Time>();
+    rules.deadline = c.at("deadline_us").get<Time>();
+    if (rules.deadline <= 0) throw std::runtime_error("plan: deadline_us of " + name + " is not above 0");
+    table[name] = rules;
+  }
+  if (table.empty()) throw std::runtime_error("plan: classes are empty");
+  return table;
+}
+
+void Check(bool good, const char* key, const char* may_be) {
+  if (!good) throw std::runtime_error(fmt::format("plan: {} must be {}", key, may_be));
+}
+
+}  // namespace
+
+const char* Word(FaultKind kind) { return kWords[static_cast<std::size_t>(kind)]; }
+
+FaultKind FaultKindOf(const std::string& word) {
+  return static_cast<FaultKind>(IndexOf(kWords, word, "fault"));
+}
+
+Plan MakePlan(std::uint64_t seed, Time length) {
+  Plan plan;
+  plan.seed = seed;
+  plan.length = length;
+  Stream chance(seed, emulator::Concern::kFailures);
+  plan.nodes = 1 + chance.Below(6);
+  plan.zones = 1 + static_cast<int>(chance.Below(3));
+  plan.push = chance.Chance(0.5);
+  plan.resume = chance.Chance(0.3);
+  plan.max_attempts = 2 + static_cast<int>(chance.Below(4));
+  plan.connect_timeout = Between(chance, 250 * kMillisecond, 2 * kSecond);
+  plan.idle_close = Between(chance, kSecond, 6 * kSecond);
+  plan.clients = 4 + chance.Below(16);
+  if (chance.Chance(0.2)) {
+    plan.crowd = 40;
+    plan.sockets = 160;
+  }
+  const std::size_t replicas = 2 + chance.Below(8);
+  for (std::size_t n = 0; n < replicas; ++n) {
+    PlannedReplica r;
+    r.zone = static_cast<int>(chance.Below(static_cast<std::uint64_t>(plan.zones)));
+    r.cell = static_cast<int>(chance.Below(3));
+    r.first_token = Between(chance, 5 * kMillisecond, 80 * kMillisecond);
+    r.per_token = Between(chance, kMillisecond, 12 * kMillisecond);
+    r.tokens = 8 + chance.Below(80);
+    plan.replicas.push_back(r);
+  }
+  plan.classes = MakeClasses(chance);
+  plan.other_classes = OtherClasses(plan.classes, chance);
+  Drawer(&plan, &chance).Draw();
+  return plan;
+}
+
+std::string PlanText(const Plan& p) {
+  json replicas = json::array(), faults = json::array();
+  for (const PlannedReplica& r : p.replicas) {
+    replicas.push_back({{"zone", r.zone},
+                        {"cell", r.cell},
+                        {"first_token_us", r.first_token},
+                        {"per_token_us", r.per_token},
+                        {"tokens", r.tokens}});
+  }
+  for (const Fault& f : p.faults) {
+    faults.push_back({{"at_us", f.at},
+                      {"kind", Word(f.kind)},
+                      {"node", f.node},
+                      {"replica", f.replica},
+                      {"lasts_us", f.lasts},
+                      {"share", f.share}});
+  }
+  const Habits& h = p.habits;
+  const json habits = {{"fresh", h.fresh},
+                       {"leave", h.leave},
+                       {"half_close", h.half_close},
+                       {"partial", h.partial},
+                       {"pipeline", h.pipeline},
+                       {"slow_reader", h.slow_reader},
+                       {"little_time", h.little_time},
+                       {"think_us", h.think}};
+  const json out = {{"seed", p.seed},
+                    {"length_us", p.length},
+                    {"nodes", p.nodes},
+                    {"zones", p.zones},
+                    {"push", p.push},
+                    {"resume", p.resume},
+                    {"max_attempts", p.max_attempts},
+                    {"connect_timeout_us", p.connect_timeout},
+                    {"idle_close_us", p.idle_close},
+                    {"clients", p.clients},
+                    {"crowd", p.crowd},
+                    {"sockets", p.sockets},
+                    {"replicas", replicas},
+                    {"classes", TableJson(p.classes)},
+                    {"other_classes", TableJson(p.other_classes)},
+                    {"habits", habits},
+                    {"faults", faults}};
+  return out.dump(1) + "\n";
+}
+
+Plan ReadPlan(const std::string& text) {
+  Plan p;
+  try {
+    const json in = json::parse(text);
+    p.seed = in.at("seed").get<std::uint64_t>();
+    p.length = in.at("length_us").get<Time>();
+    p.nodes = in.at("nodes").get<std::size_t>();
+    p.zones = in.at("zones").get<int>();
+    p.push = in.at("push").get<bool>();
+    p.resume = in.at("resume").get<bool>();
+    p.max_attempts = in.at("max_attempts").get<int>();
+    p.connect_timeout = in.at("connect_timeout_us").get<Time>();
+    p.idle_close = in.at("idle_close_us").get<Time>();
+    p.clients = in.at("clients").get<std::size_t>();
+    p.crowd = in.at("crowd").get<std::size_t>();
+    p.sockets = in.at("sockets").get<std::size_t>();
+    for (const json& r : in.at("replicas")) {
+      PlannedReplica replica;
+      replica.zone = r.at("zone").get<int>();
+      replica.cell = r.at("cell").get<int>();
+      replica.first_token = r.at("first_token_us").get<Time>();
+      replica.per_token = r.at("per_token_us").get<Time>();
+      replica.tokens = r.at("tokens").get<std::size_t>();
+      p.replicas.push_back(replica);
+    }
+    p.classes = TableOf(in.at("classes"));
+    p.other_classes = TableOf(in.at("other_classes"));
+    const json& h = in.at("habits");
+    p.habits = {h.at("fresh").get<double>(),       h.at("leave").get<double>(),
+                h.at("half_close").get<double>(),  h.at("partial").get<double>(),
+                h.at("pipeline").get<double>(),    h.at("slow_reader").get<double>(),
+                h.at("little_time").get<double>(), h.at("think_us").get<Time>()};
+    for (const json& f : in.at("faults")) {
+      Fault fault;
+      fault.at = f.at("at_us").get<Time>();
+      fault.kind = FaultKindOf(f.at("kind").get<std::string>());
+      fault.node = f.at("node").get<std::size_t>();
+      fault.replica = f.at("replica").get<std::size_t>();
+      fault.lasts = f.at("lasts_us").get<Time>();
+      fault.share = f.at("share").get<double>();
+      p.faults.push_back(fault);
+    }
+  } catch (const json::exception& e) {
+    throw std::runtime_error(std::string("plan: ") + e.what());
+  }
+  Check(p.length >= kSecond && p.length <= 3600 * kSecond, "length_us", "1 s to an hour");
+  Check(p.nodes >= 1 && p.nodes <= 12, "nodes", "1 to 12");
+  Check(!p.replicas.empty() && p.replicas.size() <= 64, "replicas", "1 to 64 entries");
+  Check(p.clients >= 1 && p.clients <= 200, "clients", "1 to 200");
+  Check(p.crowd <= 2'000, "crowd", "at most 2000");
+  for (const Fault& f : p.faults) {
+    Check(f.node < p.nodes, "a fault's node", "one of the nodes");
+    Check(f.replica < p.replicas.size(), "a fault's replica", "one of the replicas");
+    Check(f.at >= 0 && f.lasts >= 0, "a fault's times", "0 or more");
+  }
+  return p;
+}
+
+}  // namespace ryeglade::soak
--- /dev/null
+++ b/lab/soak/play.cpp
@@ -0,0 +1,666 @@
+#include "lab/soak/play.h"
+
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <signal.h>
+
+#include <algorithm>
+#include <charconv>
+#include <filesystem>
+#include <iterator>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <tuple>
+
+#include "http/call.h"
+#include "lab/cluster/relay.h"
+#include "lab/directory.h"
+#include "lab/node_process.h"
+#include "lab/soak/link_relay.h"
+#include "lab/soak/users.h"
+#include "lab/stand_in.h"
+
+namespace ryeglade::soak {
+namespace {
+
+constexpr Time kMillisecond = 1'000;
+constexpr Time kSecond = 1'000'000;
+constexpr Time kLookEvery = 10 * kMillisecond;
+constexpr Time kLagFrom = 20 * kMillisecond;      // a turn of the lab's loop that is later than this
+constexpr Time kHeldUpEvery = 50 * kMillisecond;  // a look at how long a process waited for a core
+constexpr Time kHeldUpFrom = 20 * kMillisecond;   // of that, to count as held up
+constexpr Time kReadyWithin = 20 * kSecond;
+constexpr Time kStartAgain = 300 * kMillisecond;  // after a process has ended
+constexpr Time kSecondTerm = 100 * kMillisecond;
+constexpr Time kCloseIdleEvery = 150 * kMillisecond;
+constexpr Time kQuietEnd = 12 * kSecond;  // for what is out when the faults are over
+constexpr Time kLinkDelay = 60 * kMillisecond;
+constexpr int kRequestsReset = 3;
+constexpr int kSlower = 8;
+// PROTOCOL: "SIGKILL comes after SIGTERM, no sooner than the longest deadline (counted as 3 s where it is
+// longer) plus 0.7 s."
+constexpr Time kMostDeadline = 3 * kSecond;
+constexpr Time kAfterDeadline = 700 * kMillisecond;
+constexpr int kCallPatience = 200;  // ms, for a process's counters
+
+Time LongestDeadline(const ClassTable& table) {
+  Time longest = 0;
+  for (const auto& [name, c] : table) longest = std::max(longest, c.deadline);
+  return std::min(longest, kMostDeadline);
+}
+
+nlohmann::json ClassesJson(const ClassTable& table) {
+  static constexpr const char* kEffects[] = {"free", "guarded", "single_shot"};
+  static constexpr const char* kScopes[] = {"all", "zone", "cell"};
+  nlohmann::json out = nlohmann::json::array();
+  for (const auto& [name, c] : table) {
+    out.push_back({{"name", name},
+                   {"promise", c.deadline / 2},
+                   {"deadline", c.deadline},
+                   {"late-worth", 0.5},
+                   {"worth", 1.0},
+                   {"stream", true},
+                   {"effect", kEffects[static_cast<std::size_t>(c.effect)]},
+                   {"dedup-scope", kScopes[static_cast<std::size_t>(c.scope)]},
+                   {"window", c.window}});
+  }
+  return out;
+}
+
+class Player : public lab::AttemptTap {
+ public:
+  Player(const Plan& plan, const PlayOptions& options)
+      : plan_(plan),
+        options_(options),
+        buffers_(std::size_t{256} << 20),
+        deadlines_(Init(&loop_)),
+        run_{&loop_, &deadlines_, &buffers_},
+        nodes_(plan.nodes) {
+    std::string name = std::filesystem::temp_directory_path().string() + "/ryeglade-soak-XXXXXX";
+    if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("cannot make a directory " + name);
+    root_ = name;
+    SetUpReplicas();
+    std::vector<std::string> addresses;
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+      SetUpNode(n);
+      addresses.push_back(nodes_[n].listen);
+    }
+    users_ = std::make_unique<Users>(&run_, plan_, addresses);
+  }
+
+  ~Player() override {
+    for (Node& node : nodes_) {
+      for (const auto& life : node.lives) {
+        if (life->process.pid() <= 0) continue;
+        life->process.Signal(SIGKILL);
+        life->process.Signal(SIGCONT);
+      }
+    }
+    users_->Close();
+    for (Node& node : nodes_) {
+      node.links->Close();
+      node.directory->Close();
+    }
+    for (const auto& replica : replicas_) replica->Close();
+    deadlines_.Close();
+    for (int i = 0; i < 200 && uv_loop_alive(&loop_) != 0; ++i) uv_run(&loop_, UV_RUN_NOWAIT);
+    uv_loop_close(&loop_);
+    nodes_.clear();
+    std::error_code ignored;
+    std::filesystem::remove_all(root_, ignored);
+  }
+  Player(const Player&) = delete;
+  Player& operator=(const Player&) = delete;
+
+  Played Run() {
+    history_.begin = Now();
+    history_.resume = plan_.resume;
+    history_.crowd = plan_.crowd > 0;
+    for (std::size_t n = 0; n < nodes_.size(); ++n) Start(n);
+    Look();
+    const bool up = TurnUntil(Now() + kReadyWithin, [&] {
+      return std::all_of(nodes_.begin(), nodes_.end(),
+                         [](const Node& n) { return n.lives.back()->record().ready != 0; });
+    });
+    if (!up)
+      throw std::runtime_error("a node did not come up; it says: " + nodes_[0].lives.back()->process.Log());
+    begin_ = Now();
+    history_.begin = begin_;
+    users_->Start();
+    for (const Fault& f : plan_.faults) {
+      if (options_.without.contains(f.kind)) continue;
+      deadlines_.Set(begin_ + f.at, [this, f] { Begin(f); });
+    }
+    TurnUntil(begin_ + plan_.length, [] { return false; });
+    users_->Halt();
+    over_ = true;
+    TurnUntil(Now() + kQuietEnd, [&] { return users_->idle(); });
+    for (std::size_t n = 0; n < nodes_.size(); ++n) Terminate(n, *nodes_[n].lives.back());
+    TurnUntil(Now() + kQuietEnd, [&] { return Ended(); });
+    return Gather();
+  }
+
+  // ---- AttemptTap ----
+
+  void OnTaken(std::size_t replica, Handle connection, const HttpRequest& request,
+               const sockaddr_storage& from) override {
+    const int port = ntohs(reinterpret_cast<const sockaddr_in&>(from).sin_port);
+    Attempt a;
+    if (const std::string* id = request.Header("x-call-id")) a.id = *id;
+    if (const std::string* budget = request.Header("x-budget")) a.budget = SecondsOf(*budget);
+    a.replica = replica;
+    a.began = request.first_byte;
+    a.taken = Now();
+    const LinkView* last = nullptr;
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+      const LinkView* view = nodes_[n].links->ViewOf(replica, port);
+      if (view == nullptr || (last != nullptr && view->up < last->up)) continue;
+      last = view;
+      a.node = n;
+    }
+    if (last != nullptr && last->began != 0) a.began = std::min(a.began, last->began);
+    if (last != nullptr && last->closed != 0) {
+      a.end = AttemptEnd::kNodeClosed;
+      a.ended = last->closed;
+    }
+    by_port_[{a.node, replica, port}] = history_.attempts.size();
+    by_connection_[{replica, connection}] = history_.attempts.size();
+    history_.attempts.push_back(std::move(a));
+  }
+
+  void OnEvents(std::size_t replica, Handle connection, std::string_view bytes) override {
+    const auto it = by_connection_.find({replica, connection});
+    if (it != by_connection_.end())
+      history_.attempts[it->second].events.push_back({Now(), std::string(bytes)});
+  }
+
+  void OnOver(std::size_t replica, Handle connection, lab::AttemptOver how) override {
+    const auto it = by_connection_.find({replica, connection});
+    if (it == by_connection_.end()) return;
+    Attempt& a = history_.attempts[it->second];
+    by_connection_.erase(it);
+    if (a.ended != 0) return;
+    a.ended = Now();
+    switch (how) {
+      case lab::AttemptOver::kWhole:
+        a.end = AttemptEnd::kWhole;
+        break;
+      case lab::AttemptOver::kRejected:
+        a.end = AttemptEnd::kRejected;
+        break;
+      case lab::AttemptOver::kError:
+        a.end = AttemptEnd::kError;
+        break;
+      case lab::AttemptOver::kReset:
+        a.end = AttemptEnd::kReset;
+        break;
+      case lab::AttemptOver::kNodeClosed:
+        a.end =
+            AttemptEnd::kReset;  // the link broke; had the node closed it, its end of the link had said so
+        break;
+    }
+  }
+
+ private:
+  // One process of a node, and where its record stands.
+  struct Life {
+    Life(History* history, std::size_t number) : all(history), at(number) {}
+    Process& record() { return all->processes[at]; }
+    const Process& record() const { return all->processes[at]; }
+    History* all;
+    std::size_t at;
+    lab::NodeProcess process;
+    std::string management, log;
+    std::size_t read = 0;  // of its log
+    bool ended = false;
+    Time looked = 0, waited = 0;  // how long it had waited for a core then
+  };
+  struct Node {
+    std::string listen, discovery, tmpdir;
+    std::unique_ptr<lab::Directory> directory;
+    std::unique_ptr<LinkRelay> links;
+    std::vector<std::string> addresses;  // of the links, by replica
+    std::vector<std::unique_ptr<Life>> lives;
+    bool other_classes = false;
+  };
+
+  static uv_loop_t* Init(uv_loop_t* loop) {
+    uv_loop_init(loop);
+    return loop;
+  }
+  static Time SecondsOf(const std::string& text) {
+    double value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return static_cast<Time>(value * 1e6);
+  }
+  std::string ReplicaName(std::size_t n) const { return fmt::format("s-{:02}", n); }
+  std::string ZoneName(int zone) const { return fmt::format("z{}", zone); }
+  const ClassTable& Classes(const Node& node) const {
+    return node.other_classes ? plan_.other_classes : plan_.classes;
+  }
+
+  template <class Condition>
+  bool TurnUntil(Time end, Condition done) {
+    while (!done() && Now() < end) {
+      if (options_.interrupted && options_.interrupted()) throw std::runtime_error("interrupted");
+      DeadlineId wake = deadlines_.Set(std::min(end, Now() + kLookEvery), [] {});
+      uv_run(&loop_, UV_RUN_ONCE);
+      deadlines_.Cancel(wake);
+    }
+    return done();
+  }
+
+  // ---- The installation ----
+
+  void SetUpReplicas() {
+    for (std::size_t n = 0; n < plan_.replicas.size(); ++n) {
+      const PlannedReplica& p = plan_.replicas[n];
+      lab::StandInOptions o;
+      o.speech = lab::Speech::kPlatform;
+      o.seed = plan_.seed * 64 + n;
+      o.first_token = p.first_token;
+      o.per_token = p.per_token;
+      o.tokens = p.tokens;
+      o.number = n;
+      o.tap = this;
+      replicas_.push_back(std::make_unique<lab::StandIn>(&run_, &witness_, o));
+      replica_addresses_.push_back(replicas_.back()->Listen());
+      listings_.push_back({"active", ZoneName(p.zone), p.cell, 0});
+      history_.replicas.push_back({ReplicaName(n), p.zone, p.cell});
+    }
+  }
+
+  void SetUpNode(std::size_t n) {
+    Node& node = nodes_[n];
+    node.listen = cluster::FreeAddress("127.0.0.1");
+    node.tmpdir = fmt::format("{}/n{}", root_, n);
+    std::filesystem::create_directory(node.tmpdir);
+    node.links = std::make_unique<LinkRelay>(&run_);
+    node.links->OnClosed([this, n](std::size_t replica, int port) { NodeClosed(n, replica, port); });
+    node.directory = std::make_unique<lab::Directory>(&run_);
+    node.directory->OnTold(
+        [this, n](const std::string& name, const std::string& lifecycle) { Told(n, name, lifecycle); });
+    for (std::size_t r = 0; r < replicas_.size(); ++r) {
+      node.addresses.push_back(node.links->Add(replica_addresses_[r]));
+      node.directory->Set(ReplicaName(r), node.addresses[r], listings_[r]);
+    }
+    node.discovery = node.directory->Listen();
+    history_.settings.push_back({n, 0, plan_.classes});
+  }
+
+  std::string ConfigOf(const Node& node, std::size_t n, const std::string& management) const {
+    std::vector<std::string> zones;
+    for (int z = 0; z < plan_.zones; ++z) zones.push_back(ZoneName(z));
+    nlohmann::json config =
+        nlohmann::json::parse(lab::ConfigJson(node.listen, node.discovery, node.directory->Text(true)));
+    config["name"] = fmt::format("n{}", n);
+    config["management"] = management;
+    config["limits"]["sockets"] = plan_.sockets;
+    nlohmann::json& s = config["settings"];
+    s["classes"] = ClassesJson(Classes(node));
+    s["localities"] = zones;
+    s["membership-mode"] = plan_.push ? "push" : "ask";
+    s["balancers"] = plan_.nodes;
+    s["family-info"] = {{"resume", plan_.resume}};
+    s["limits"]["max-attempts"] = plan_.max_attempts;
+    s["limits"]["connect-timeout"] = plan_.connect_timeout;
+    s["limits"]["idle-close"] = plan_.idle_close;
+    s["limits"]["cancel"] = true;
+    s["obligations"]["drain-grace"] = 750'000;
+    return config.dump();
+  }
+
+  void Start(std::size_t n) {
+    Node& node = nodes_[n];
+    node.lives.push_back(std::make_unique<Life>(&history_, history_.processes.size()));
+    Life& life = *node.lives.back();
+    Process p;
+    p.node = n;
+    p.started = Now();
+    history_.processes.push_back(p);
+    life.management = cluster::FreeAddress("127.0.0.1");
+    lab::NodeFiles files;
+    files.config = ConfigOf(node, n, life.management);
+    files.settings = "[log]\nlevel = \"info\"\nlines_per_second = 5000\n";
+    files.tmpdir = node.tmpdir;
+    files.preload = options_.preload;
+    life.process.Start(options_.program, files);
+    // Its configuration holds the list as it is now.
+    for (std::size_t r = 0; r < replicas_.size(); ++r) {
+      history_.list.push_back({n, r, Now(), Now(), listings_[r].lifecycle == "active"});
+    }
+  }
+
+  // ---- What the processes do ----
+
+  // Whatever is seen late because this process waited for a core must not be held against the nodes.
+  void WatchOwnLag() {
+    const Time now = Now();
+    if (looked_ != 0 && now - looked_ > kLookEvery + kLagFrom) history_.lab_lags.push_back({looked_, now});
+    looked_ = now;
+  }
+
+  void Look() {
+    WatchOwnLag();
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+      for (std::size_t k = 0; k < nodes_[n].lives.size(); ++k) LookAt(n, *nodes_[n].lives[k]);
+    }
+    deadlines_.Set(Now() + kLookEvery, [this] { Look(); });
+  }
+
+  void LookAt(std::size_t n, Life& life) {
+    if (life.ended) return;
+    Process& p = life.record();
+    WatchHeldUp(life);
+    if (p.ready == 0 && life.process.Log().find("event=listening addr=") != std::string::npos) {
+      p.ready = Now();
+      p.first_descriptors = life.process.Descriptors();
+    }
+    if (life.process.Running()) return;
+    life.ended = true;
+    p.ended = Now();
+    p.status = life.process.status();
+    life.log = life.process.Log();
+    if (!over_ && &life == nodes_[n].lives.back().get() && !p.replaced) {
+      deadlines_.Set(Now() + kStartAgain, [this, n] {
+        if (!over_) Start(n);
+      });
+    }
+  }
+
+  // The time for which a process that could run waited for a core.
+  void WatchHeldUp(Life& life) {
+    const Time now = Now();
+    if (now - life.looked < kHeldUpEvery) return;
+    const Time waited = life.process.WaitedForCore();
+    std::vector<Span>& stops = life.record().stops;
+    if (life.looked != 0 && waited - life.waited > kHeldUpFrom) {
+      const bool goes_on = !stops.empty() && stops.back().to >= life.looked;
+      goes_on ? void(stops.back().to = now) : stops.push_back({life.looked, now});
+    }
+    life.looked = now;
+    life.waited = waited;
+  }
+
+  bool Ended() const {
+    return std::all_of(nodes_.begin(), nodes_.end(), [](const Node& n) {
+      return std::all_of(n.lives.begin(), n.lives.end(), [](const auto& life) { return life->ended; });
+    });
+  }
+
+  void ReadFigures(Life& life) {
+    if (life.ended || life.process.pid() <= 0) return;
+    Process& p = life.record();
+    p.last_descriptors = life.process.Descriptors();
+    try {
+      p.counters = HttpCall("the node", life.management, "GET", "/control/counters", "", kCallPatience).body;
+    } catch (const std::runtime_error&) {
+      p.counters = "(the process did not answer)";
+    }
+  }
+
+  // SIGTERM, and SIGKILL at the earliest moment that the pages allow.
+  void Terminate(std::size_t n, Life& life) {
+    if (life.ended || life.record().told_end != 0) return;
+    ReadFigures(life);
+    Process& p = life.record();
+    p.told_end = Now();
+    life.process.Signal(SIGTERM);
+    const std::size_t at =
+        static_cast<std::size_t>(std::find_if(nodes_[n].lives.begin(), nodes_[n].lives.end(),
+                                              [&](const auto& l) { return l.get() == &life; }) -
+                                 nodes_[n].lives.begin());
+    PlanKill(n, at);
+  }
+
+  void PlanKill(std::size_t n, std::size_t at) {
+    Process& p = nodes_[n].lives[at]->record();
+    p.may_kill = p.told_end + LongestDeadline(Classes(nodes_[n])) + kAfterDeadline;
+    deadlines_.Set(p.may_kill, [this, n, at] {
+      Life& life = *nodes_[n].lives[at];
+      LookAt(n, life);
+      if (life.ended || life.record().killed != 0) return;
+      life.record().killed = Now();
+      life.process.Signal(SIGCONT);
+      life.process.Signal(SIGKILL);
+    });
+  }
+
+  // ---- Faults ----
+
+  Life& Newest(std::size_t n) { return *nodes_[n].lives.back(); }
+
+  void Begin(const Fault& f) {
+    Life& life = Newest(f.node);
+    switch (f.kind) {
+      case FaultKind::kTerm:
+        return Terminate(f.node, life);
+      case FaultKind::kTermTwice:
+        Terminate(f.node, life);
+        deadlines_.Set(Now() + kSecondTerm, [&life] { life.process.Signal(SIGTERM); });
+        return;
+      case FaultKind::kHup:
+        return life.process.Signal(SIGHUP);
+      case FaultKind::kHupSettings:
+        return ChangeSettings(f.node);
+      case FaultKind::kKill:
+        return Shoot(life);
+      case FaultKind::kStop:
+        return Stop(life, f.lasts);
+      case FaultKind::kHotRestart:
+        return HotRestart(f.node);
+      case FaultKind::kDrain:
+        return Drain(f.replica, f.lasts);
+      case FaultKind::kRestart:
+        return RestartReplica(f.replica, f.lasts);
+      case FaultKind::kCloseIdle:
+        return CloseIdle(f.replica, Now() + f.lasts);
+      case FaultKind::kLeave:
+        return users_->LeaveBurst();
+      case FaultKind::kLate:
+      case FaultKind::kDelay:
+      case FaultKind::kResetLinks:
+      case FaultKind::kResetUnder:
+        return SpoilLinks(f);
+      case FaultKind::kDark:
+      case FaultKind::kSilent:
+      case FaultKind::kSlowList:
+        return SpoilDiscovery(f);
+      default:
+        return SpoilReplica(f);
+    }
+  }
+
+  // With settings that come in the end, SIGKILL may come by either; the earlier moment is taken.
+  void ChangeSettings(std::size_t n) {
+    Node& node = nodes_[n];
+    Life& life = Newest(n);
+    if (life.ended) return;
+    node.other_classes = !node.other_classes;
+    life.process.Write(ConfigOf(node, n, life.management));
+    life.process.Signal(SIGHUP);
+    history_.settings.push_back({n, Now(), Classes(node)});
+    const Process& p = life.record();
+    if (p.told_end != 0 && p.may_kill > p.told_end + LongestDeadline(Classes(node)) + kAfterDeadline) {
+      PlanKill(n, node.lives.size() - 1);
+    }
+  }
+
+  void Shoot(Life& life) {
+    if (life.ended || life.record().told_end != 0) return;
+    life.record().shot = true;
+    life.process.Signal(SIGKILL);
+  }
+
+  void Stop(Life& life, Time lasts) {
+    if (life.ended) return;
+    life.process.Signal(SIGSTOP);
+    life.record().stops.push_back({Now(), Now() + lasts});
+    const std::size_t stop = life.record().stops.size() - 1;
+    deadlines_.Set(Now() + lasts, [&life, stop] {
+      life.process.Signal(SIGCONT);
+      life.record().stops[stop].to = Now();
+    });
+  }
+
+  void HotRestart(std::size_t n) {
+    Life& old = Newest(n);
+    if (old.ended || old.record().ready == 0 || old.record().told_end != 0) return;
+    old.record().replaced = true;
+    Start(n);
+    WaitToReplace(n, nodes_[n].lives.size() - 2, Now() + 5 * kSecond);
+  }
+
+  void WaitToReplace(std::size_t n, std::size_t old, Time until) {
+    Life& young = *nodes_[n].lives[old + 1];
+    if (young.record().ready != 0 || young.ended || Now() >= until)
+      return Terminate(n, *nodes_[n].lives[old]);
+    deadlines_.Set(Now() + kLookEvery, [this, n, old, until] { WaitToReplace(n, old, until); });
+  }
+
+  void SetListing(std::size_t replica) {
+    for (Node& node : nodes_)
+      node.directory->Set(ReplicaName(replica), node.addresses[replica], listings_[replica]);
+  }
+
+  void ChangeList(std::size_t replica, const std::string& lifecycle) {
+    listings_[replica].lifecycle = lifecycle;
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+      history_.list.push_back({n, replica, Now(), 0, lifecycle == "active"});
+    }
+    SetListing(replica);
+  }
+
+  void Told(std::size_t node, const std::string& name, const std::string& lifecycle) {
+    // Each telling of a state that changed is kept: a process that starts later is told anew.
+    for (ListChange& c : history_.list) {
+      if (c.node == node && ReplicaName(c.replica) == name && c.written == 0 &&
+          c.wanted == (lifecycle == "active")) {
+        c.written = Now();
+      }
+    }
+  }
+
+  void Drain(std::size_t replica, Time lasts) {
+    if (listings_[replica].lifecycle != "active") return;
+    ChangeList(replica, "leaving");
+    deadlines_.Set(Now() + lasts, [this, replica] { ChangeList(replica, "active"); });
+  }
+
+  void RestartReplica(std::size_t replica, Time lasts) {
+    history_.link_faults.push_back({replica, Now(), Now() + lasts});
+    for (Node& node : nodes_) node.links->SetSilent(replica, true);
+    deadlines_.Set(Now() + lasts, [this, replica] {
+      for (Node& node : nodes_) node.links->SetSilent(replica, false);
+      listings_[replica].started_at_ms = Now() / 1000;
+      SetListing(replica);
+    });
+  }
+
+  void CloseIdle(std::size_t replica, Time until) {
+    replicas_[replica]->CloseIdle();
+    if (Now() >= until || over_) return;
+    deadlines_.Set(Now() + kCloseIdleEvery, [this, replica, until] { CloseIdle(replica, until); });
+  }
+
+  void SpoilLinks(const Fault& f) {
+    if (f.kind == FaultKind::kResetLinks) history_.link_faults.push_back({f.replica, Now(), Now()});
+    for (Node& node : nodes_) {
+      LinkRelay& links = *node.links;
+      if (f.kind == FaultKind::kResetLinks) links.ResetAll(f.replica);
+      if (f.kind == FaultKind::kResetUnder) links.ResetUnderRequests(f.replica, kRequestsReset);
+      if (f.kind == FaultKind::kLate) links.SetLate(f.replica, true);
+      if (f.kind == FaultKind::kDelay) links.SetDelay(f.replica, kLinkDelay);
+    }
+    if (f.lasts == 0) return;
+    deadlines_.Set(Now() + f.lasts, [this, f] {
+      for (Node& node : nodes_) {
+        if (f.kind == FaultKind::kLate) node.links->SetLate(f.replica, false);
+        if (f.kind == FaultKind::kDelay) node.links->SetDelay(f.replica, 0);
+      }
+    });
+  }
+
+  void SpoilDiscovery(const Fault& f) {
+    const auto set = [this, kind = f.kind](bool on) {
+      for (Node& node : nodes_) {
+        if (kind == FaultKind::kDark) node.directory->SetDark(on);
+        if (kind == FaultKind::kSilent) node.directory->SetSilent(on);
+        if (kind == FaultKind::kSlowList) node.directory->SetSlow(on ? kSecond : 0);
+      }
+    };
+    set(true);
+    deadlines_.Set(Now() + f.lasts, [set] { set(false); });
+  }
+
+  void SpoilReplica(const Fault& f) {
+    static const std::map<FaultKind, lab::Fault> kFaults = {
+        {FaultKind::kHang, lab::Fault::kSilent}, {FaultKind::kStall, lab::Fault::kStall},
+        {FaultKind::kBreak, lab::Fault::kBreak}, {FaultKind::kReset, lab::Fault::kResetBefore},
+        {FaultKind::kError, lab::Fault::kError}, {FaultKind::kReject, lab::Fault::kBusy}};
+    lab::StandInOptions& o = replicas_[f.replica]->options();
+    if (f.kind == FaultKind::kSlow) {
+      o.first_token *= kSlower;
+    } else {
+      o.fault = kFaults.at(f.kind);
+      o.fault_share = f.share;
+    }
+    deadlines_.Set(Now() + f.lasts, [this, f] {
+      lab::StandInOptions& after = replicas_[f.replica]->options();
+      after.first_token = plan_.replicas[f.replica].first_token;
+      after.fault = lab::Fault::kNone;
+    });
+  }
+
+  void NodeClosed(std::size_t node, std::size_t replica, int port) {
+    const auto it = by_port_.find({node, replica, port});
+    if (it == by_port_.end()) return;
+    Attempt& a = history_.attempts[it->second];
+    if (a.ended != 0) return;
+    a.ended = Now();
+    a.end = AttemptEnd::kNodeClosed;
+  }
+
+  Played Gather() {
+    history_.end = Now();
+    history_.requests = users_->requests();
+    history_.bad_clients = users_->bad_clients();
+    Played played;
+    for (const Process& p : history_.processes) {
+      for (const auto& life : nodes_[p.node].lives) {
+        if (&life->record() == &p) played.logs.push_back(life->ended ? life->log : life->process.Log());
+      }
+    }
+    played.history = history_;
+    return played;
+  }
+
+  const Plan& plan_;
+  const PlayOptions& options_;
+  std::string root_;
+  uv_loop_t loop_{};
+  Buffers buffers_;
+  Deadlines deadlines_;
+  Runtime run_;
+  lab::Witness witness_;
+  std::vector<std::unique_ptr<lab::StandIn>> replicas_;
+  std::vector<std::string> replica_addresses_;
+  std::vector<lab::Listing> listings_;
+  std::vector<Node> nodes_;
+  std::unique_ptr<Users> users_;
+  History history_;
+  std::map<std::tuple<std::size_t, std::size_t, int>, std::size_t>
+      by_port_;  // the attempt that a link carried last
+  std::map<std::pair<std::size_t, Handle>, std::size_t>
+      by_connection_;  // the attempt that is out, by replica
+  Time begin_ = 0, looked_ = 0;
+  bool over_ = false;
+};
+
+}  // namespace
+
+Played Play(const Plan& plan, const PlayOptions& options) { return Player(plan, options).Run(); }
+
+}  // namespace ryeglade::soak
--- /dev/null
+++ b/lab/soak/shrink.h
@@ -0,0 +1,21 @@
+// From a plan that breaks a rule to one with fewer faults that still does, by delta debugging (Zeller and
+// Hildebrandt, IEEE TSE 2002). Real processes do not repeat themselves exactly: a set of faults counts as
+// harmless once it has been played twice without the breach.
+#pragma once
+
+#include <cstddef>
+
+#include "lab/soak/play.h"
+
+namespace ryeglade::soak {
+
+struct Shrunk {
+  Plan plan;
+  Rule rule = Rule::kAnswer;
+  std::size_t plays = 0;
+};
+
+// Throws std::runtime_error if the plan breaks no rule in two plays.
+Shrunk Shrink(const Plan& plan, const PlayOptions& options, std::size_t most_plays);
+
+}  // namespace ryeglade::soak
--- a/lab/stand_in.cpp
+++ b/lab/stand_in.cpp
@@ -20,6 +20,7 @@
     : run_(run),
       witness_(witness),
       options_(options),
+      chance_(options.seed, emulator::Concern::kFailures, options.number),
       server_(run, this,
               {.listen = "127.0.0.1:0", .most_sockets = 4096, .read_within = 60'000'000, .admits = {}}) {}
 
@@ -66,7 +67,10 @@
     job.tokens = std::min(job.tokens, static_cast<std::size_t>(job.max_tokens));
   }
   job.fault = MarkIn(body);
-  if (job.fault == Fault::kNone) job.fault = options_.fault;
+  if (job.fault == Fault::kNone && chance_.Chance(options_.fault_share)) job.fault = options_.fault;
+  if (options_.tap != nullptr) {
+    options_.tap->OnTaken(options_.number, connection, request, server_.PeerOf(connection));
+  }
   ++witness_->attempts;
   const int before = witness_->seen[job.prompt]++;
   if (witness_->running[job.prompt]++ > 0) ++witness_->two_at_once;
@@ -78,15 +82,15 @@
   const bool full = static_cast<int>(waiting_.size()) >= options_.queue;
   jobs_[connection] = job;
   if (job.fault == Fault::kBusy || full) {
-    End(connection);
+    End(connection, AttemptOver::kRejected);
     return Turn(connection, 429);
   }
   if (job.fault == Fault::kError || job.fault == Fault::kBadRequest) {
-    End(connection);
+    End(connection, AttemptOver::kError);
     return Turn(connection, job.fault == Fault::kError ? 500 : 400);
   }
   if (job.fault == Fault::kResetBefore) {
-    End(connection);
+    End(connection, AttemptOver::kReset);
     return server_.Abort(connection);
   }
   if (job.fault == Fault::kSilent) return;
@@ -94,11 +98,17 @@
   Next();
 }
 
-void StandIn::OnGone(Handle connection) { End(connection); }
+void StandIn::OnGone(Handle connection) { End(connection, AttemptOver::kNodeClosed); }
+
+void StandIn::Send(Handle connection, const std::string& events) {
+  if (options_.tap != nullptr) options_.tap->OnEvents(options_.number, connection, events);
+  server_.Chunk(connection, events);
+}
 
-void StandIn::End(Handle connection) {
+void StandIn::End(Handle connection, AttemptOver how) {
   const auto it = jobs_.find(connection);
   if (it == jobs_.end()) return;
+  if (options_.tap != nullptr) options_.tap->OnOver(options_.number, connection, how);
   run_->deadlines->Cancel(it->second.next);
   --witness_->running[it->second.prompt];
   if (it->second.running) {
@@ -125,11 +135,10 @@
   Job& job = jobs_.at(connection);
   job.begun = true;
   server_.BeginChunks(connection, "Content-Type: text/event-stream\r\n");
-  if (options_.speech == Speech::kOpenAi) server_.Chunk(connection, ": stand-in\n\n");
+  if (options_.speech == Speech::kOpenAi) Send(connection, ": stand-in\n\n");
   if (job.fault == Fault::kErrorFirst) {
-    server_.Chunk(connection,
-                  "data: {\"error\":{\"message\":\"stand-in failed\",\"type\":\"stand_in\"}}\n\n");
-    End(connection);
+    Send(connection, "data: {\"error\":{\"message\":\"stand-in failed\",\"type\":\"stand_in\"}}\n\n");
+    End(connection, AttemptOver::kWhole);
     return server_.EndChunks(connection);
   }
   Step(connection);
@@ -155,14 +164,13 @@
   const bool middle = job.given * 2 >= job.tokens;
   if (middle && job.given > 0) {
     if (job.fault == Fault::kBreak) {
-      End(connection);
+      End(connection, AttemptOver::kReset);
       return server_.Abort(connection);
     }
     if (job.fault == Fault::kStall) return;
     if (job.fault == Fault::kErrorEvent) {
-      server_.Chunk(connection,
-                    "data: {\"error\":{\"message\":\"stand-in failed\",\"type\":\"stand_in\"}}\n\n");
-      End(connection);
+      Send(connection, "data: {\"error\":{\"message\":\"stand-in failed\",\"type\":\"stand_in\"}}\n\n");
+      End(connection, AttemptOver::kWhole);
       return server_.EndChunks(connection);
     }
   }
@@ -172,7 +180,7 @@
   const Time spent = static_cast<Time>(to - job.given) * options_.per_token;
   for (; job.given < to; ++job.given) text += Token(job.prompt, options_.seed, job.given);
   const bool last = job.given >= job.tokens;
-  server_.Chunk(connection, Event(job, text, last));
+  Send(connection, Event(job, text, last));
   job.next = run_->deadlines->Set(Now() + spent,
                                   [this, connection, last] { last ? Finish(connection) : Step(connection); });
 }
@@ -202,9 +210,9 @@
 
 void StandIn::Finish(Handle connection) {
   const Job job = jobs_.at(connection);
-  End(connection);
-  if (job.usage && job.fault != Fault::kNoUsage) server_.Chunk(connection, Usage(job));
-  if (job.fault != Fault::kNoDone) server_.Chunk(connection, "data: [DONE]\n\n");
+  if (job.usage && job.fault != Fault::kNoUsage) Send(connection, Usage(job));
+  if (job.fault != Fault::kNoDone) Send(connection, "data: [DONE]\n\n");
+  End(connection, AttemptOver::kWhole);
   server_.EndChunks(connection);
 }
 
--- a/lab/stand_in.h
+++ b/lab/stand_in.h
@@ -12,12 +12,27 @@
 
 #include "base/runtime.h"
 #include "http/downstream.h"
+#include "lab/emulator/random.h"
 #include "lab/fault.h"
 
 namespace ryeglade::lab {
 
 enum class Speech : std::uint8_t { kPlatform, kOpenAi };
 
+// How an attempt at a stand-in was over.
+enum class AttemptOver : std::uint8_t { kWhole, kRejected, kError, kReset, kNodeClosed };
+
+// Sees every attempt at a stand-in, as it happens. Must not call back.
+class AttemptTap {
+ public:
+  virtual ~AttemptTap() = default;
+  // The last byte of its request has come; `from` is where the connection comes from.
+  virtual void OnTaken(std::size_t replica, Handle connection, const HttpRequest& request,
+                       const sockaddr_storage& from) = 0;
+  virtual void OnEvents(std::size_t replica, Handle connection, std::string_view bytes) = 0;  // of its body
+  virtual void OnOver(std::size_t replica, Handle connection, AttemptOver how) = 0;
+};
+
 struct StandInOptions {
   Speech speech = Speech::kOpenAi;
   std::uint64_t seed = 1;
@@ -28,6 +43,9 @@
   int queue = 32;              // waiting beyond that; more is turned away
   Fault fault = Fault::kNone;  // of every request that has no mark of its own
   std::size_t tokens = 64;     // of an answer whose request sets no max_tokens
+  double fault_share = 1;      // of the requests that `fault` befalls
+  std::size_t number = 0;      // by which the tap knows it
+  AttemptTap* tap = nullptr;   // null: nobody listens
 };
 
 // What all stand-ins of one test saw together, and the rules that they check.
@@ -47,6 +65,7 @@
     if (!std::exchange(closed_, true)) server_.Close();
   }
   StandInOptions& options() { return options_; }  // may change while it runs
+  void CloseIdle() { server_.CloseIdle(); }       // a request may be on its way on one of them
 
   void OnRequest(Handle connection, HttpRequest request) override;
   void OnGone(Handle connection) override;
@@ -67,7 +86,8 @@
   void Start(Handle connection);
   void Step(Handle connection);
   void Finish(Handle connection);
-  void End(Handle connection);  // out of the table; the next one's turn
+  void End(Handle connection, AttemptOver how);  // out of the table; the next one's turn
+  void Send(Handle connection, const std::string& events);
   void Turn(Handle connection, int status);
   std::string Event(const Job& job, const std::string& text, bool last) const;
   std::string Usage(const Job& job) const;
@@ -75,6 +95,7 @@
   const Runtime* run_;
   Witness* witness_;
   StandInOptions options_;
+  emulator::Stream chance_;
   Downstream server_;
   std::map<Handle, Job> jobs_;
   std::deque<Handle> waiting_;
--- a/src/base/deadlines.cpp
+++ b/src/base/deadlines.cpp
@@ -5,6 +5,12 @@
 #include <utility>
 
 namespace ryeglade {
+namespace {
+
+constexpr Time kLate =
+    20'000;  // a deadline that is acted on later than this was missed: the process was held up
+
+}  // namespace
 
 Time Now() {
   static const Time origin = std::chrono::duration_cast<std::chrono::microseconds>(
@@ -46,8 +52,18 @@
       &timer_, [](uv_timer_t*) {}, static_cast<std::uint64_t>((wait + 999) / 1000), 0);
 }
 
+// Guards against acting on a time that has passed before what came in time is read: a process that was held
+// up (a stopped one leaves the wait for sockets without having looked at them) reads its sockets once more
+// first.
+bool Deadlines::ReadFirst(Time now) {
+  const bool late = !all_.empty() && now - all_.begin()->first.at > kLate;
+  read_first_ = late && !read_first_;
+  return read_first_;
+}
+
 void Deadlines::Sweep() {
   const Time now = Now();
+  if (ReadFirst(now)) return;
   // What a callback sets for this very moment waits for the next turn: the sockets get theirs in between.
   const std::uint64_t last = order_;
   while (!all_.empty()) {
--- a/src/base/deadlines.h
+++ b/src/base/deadlines.h
@@ -33,10 +33,12 @@
   void Close();
 
  private:
+  bool ReadFirst(Time now);
   void Sweep();
   void Arm();
   std::map<DeadlineId, std::function<void()>> all_;
   std::uint64_t order_ = 0;
+  bool read_first_ = false;  // the sockets are read once more before what is overdue is acted on
   uv_timer_t timer_{};
   uv_prepare_t prepare_{};
   uv_check_t check_{};
--- a/src/base/listener.cpp
+++ b/src/base/listener.cpp
@@ -5,7 +5,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <cerrno>
+#include <cstdint>
 #include <cstring>
 #include <stdexcept>
 #include <utility>
@@ -90,16 +92,26 @@
                 [](uv_poll_t* p, int, int) { static_cast<Listener*>(p->data)->ready_(); });
 }
 
-// A socket filter that takes no packet (see BPF in packet(7)): without it a connection that comes up between
-// the last accept and the close would be reset, although its client may have sent a request already. Where
-// the system has no such filters, that short time remains.
+// A socket filter (socket(7), SO_ATTACH_FILTER) that drops TCP segments with the SYN flag: without it a
+// connection that comes up between the last accept and the close would be reset, although its client may have
+// sent a request already. Where the system has no such filters, that short time remains.
 void Listener::StopNew() {
   if (poll_ == nullptr) return;
-  sock_filter take_nothing = BPF_STMT(BPF_RET | BPF_K, 0);
-  const sock_fprog program{1, &take_nothing};
+  constexpr std::uint32_t kFlagsAt = 13, kSyn = 0x02,
+                          kWhole = 0xffffffff;  // byte of the TCP header; bytes to keep
+  std::array<sock_filter, 4> drop_syn = {{BPF_STMT(BPF_LD | BPF_B | BPF_ABS, kFlagsAt),
+                                          BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, kSyn, 1, 0),
+                                          BPF_STMT(BPF_RET | BPF_K, kWhole), BPF_STMT(BPF_RET | BPF_K, 0)}};
+  const sock_fprog program{static_cast<unsigned short>(drop_syn.size()), drop_syn.data()};
   setsockopt(fd_, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
 }
 
+void Listener::TakeNew() {
+  if (poll_ == nullptr) return;
+  const int none = 0;
+  setsockopt(fd_, SOL_SOCKET, SO_DETACH_FILTER, &none, sizeof none);
+}
+
 void Listener::Close() {
   if (poll_ == nullptr) return;
   uv_poll_stop(poll_);
--- a/src/base/listener.h
+++ b/src/base/listener.h
@@ -25,10 +25,11 @@
 
   void Pause();   // connections wait in the kernel
   void Resume();  // and are told of again
-  // No connection comes up any more; what the kernel has accepted can still be taken. Then Close loses
-  // nothing.
+  // Calls for new connections are dropped; those whose calls have come still come up and can be taken. Close
+  // loses nothing once those are up.
   void StopNew();
-  void Close();  // those that still wait are reset
+  void TakeNew();  // connections come up again
+  void Close();    // those that still wait are reset
 
  private:
   uv_loop_t* loop_;
--- a/src/base/tcp.cpp
+++ b/src/base/tcp.cpp
@@ -143,6 +143,20 @@
   return peer;
 }
 
+sockaddr_storage Tcp::Local() const {
+  sockaddr_storage local{};
+  int length = sizeof local;
+  uv_tcp_getsockname(&tcp_, reinterpret_cast<sockaddr*>(&local), &length);
+  return local;
+}
+
+void Tcp::Reset() {
+  uv_os_fd_t fd = -1;
+  const linger now{1, 0};
+  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) != 0) return;
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+}
+
 bool Tcp::Quiet() const {
   uv_os_fd_t fd = -1;
   char byte = 0;
--- a/src/base/tcp.h
+++ b/src/base/tcp.h
@@ -39,11 +39,13 @@
   bool Write(std::string_view bytes) { return Write({bytes}); }
   bool Write(std::initializer_list<std::string_view> parts);
   std::size_t unsent() const { return sending_.size() + queued_.size(); }
-  sockaddr_storage Peer() const;  // all zero: not known
-  bool Quiet() const;             // nothing waits to be read, neither bytes nor the end
-  bool PeerClosed() const;        // the peer has closed or reset, whether or not bytes wait to be read
-  void EndWriting();              // a FIN after all that was written
-  void Close();                   // the object is gone once the loop has closed the socket
+  sockaddr_storage Peer() const;   // all zero: not known
+  sockaddr_storage Local() const;  // the same of this end
+  void Reset();                    // Close sends a reset, and drops what is unsent
+  bool Quiet() const;              // nothing waits to be read, neither bytes nor the end
+  bool PeerClosed() const;         // the peer has closed or reset, whether or not bytes wait to be read
+  void EndWriting();               // a FIN after all that was written
+  void Close();                    // the object is gone once the loop has closed the socket
 
  private:
   Tcp(Buffers* pool, TcpOwner* owner, Handle handle)
--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -20,6 +20,7 @@
 constexpr Time kSilentFrom = 500'000;      // without a whole request for this long, it may have to make room
 constexpr Time kDrainWithin = 10'000'000;  // a congested client that takes nothing for this long is gone
 constexpr Time kLinger = 1'000'000;        // for a last answer to arrive before the socket goes
+constexpr Time kHandshakeWithin = 60'000;  // from the call for a connection until it is up
 constexpr Time kSweepEvery = 50'000;
 constexpr Time kIdleFrom = 200'000;  // what a request may take to follow its connection
 constexpr Time kAcceptAgain = 20'000;
@@ -238,9 +239,17 @@
   }
 }
 
+// In two steps: connections that were called for before the first one are up before the second one.
 void Downstream::StopAccepting() {
-  if (!listener_.listening()) return;
+  if (!listener_.listening() || stopping_ != 0) return;
   listener_.StopNew();
+  stopping_ = Now();
+  core_->deadlines->Set(stopping_ + kHandshakeWithin, [this] { CloseListener(); });
+}
+
+void Downstream::CloseListener() {
+  stopping_ = 0;
+  if (!listener_.listening()) return;
   TakeWaiting();
   waiting_ = false;
   StopListening();
@@ -255,6 +264,7 @@
 }
 
 bool Downstream::Settled(Time quiet) const {
+  if (listener_.listening()) return false;
   const Time now = Now();
   for (const Handle handle : clients_.All()) {
     const Client& c = *clients_.Get(handle);
@@ -266,7 +276,10 @@
 
 void Downstream::Yield() {
   yielded_ = draining_ = true;
-  StopAccepting();
+  // At once: the other process at this address takes what comes, and a call that is dropped here would come
+  // again only after a second.
+  listener_.StopNew();
+  CloseListener();
   CloseIdle();
   SweepIdle();
 }
@@ -356,6 +369,7 @@
   Client* c = clients_.Get(handle);
   if (c == nullptr || c->state == State::kLingering) return;
   c->ahead.append(bytes);
+  c->arrivals.Add(bytes.size(), Now());
   if (c->state == State::kAnswering) {
     if (c->ahead.size() > kMostAhead) {
       c->tcp->StopReading();
@@ -384,15 +398,16 @@
   while (c != nullptr && !c->ahead.empty() && (c->state == State::kIdle || c->state == State::kReading)) {
     if (c->state == State::kIdle) {
       c->state = State::kReading;
-      c->request.first_byte = Now();
+      c->request.first_byte = c->arrivals.First(Now());
       // The first request has its time from the connection's start on.
-      if (c->used) Expire(handle, c->request.first_byte + options_.read_within);
+      if (c->used) Expire(handle, Now() + options_.read_within);
     }
     c->parser.data = c;
     const std::string bytes = std::move(c->ahead);
     c->ahead.clear();
     const std::size_t parsed = http_parser_execute(&c->parser, &Callbacks(), bytes.data(), bytes.size());
     const http_errno error = HTTP_PARSER_ERRNO(&c->parser);
+    c->arrivals.Take(c->complete ? parsed : bytes.size());
     if (c->complete) {
       http_parser_pause(&c->parser, 0);
       c->ahead = bytes.substr(std::min(parsed, bytes.size()));
@@ -531,6 +546,7 @@
     c.state = State::kLingering;
     c.congested = false;
     c.ahead.clear();
+    c.arrivals = {};
     c.tcp->Read();
     c.tcp->EndWriting();
     return Linger(handle);
--- a/src/http/downstream.h
+++ b/src/http/downstream.h
@@ -14,6 +14,7 @@
 #include "base/runtime.h"
 #include "base/slots.h"
 #include "base/tcp.h"
+#include "http/arrival_log.h"
 #include "http/close_reason.h"
 
 namespace ryeglade {
@@ -105,7 +106,8 @@
     bool surplus = false;  // over the budget of sockets: gets an answer, no service
     bool congested = false;
     bool feeding = false;
-    std::string ahead;  // read behind the request at hand
+    std::string ahead;    // read behind the request at hand
+    ArrivalLog arrivals;  // of the bytes of `ahead`
     Time idle_since = 0;
     DeadlineId deadline;
   };
@@ -117,6 +119,7 @@
   void WatchPaused(Handle connection);
   void SweepIdle();
   void StopListening();
+  void CloseListener();
   void TakeWaiting();
   bool MakeRoom();
   void Feed(Handle connection);
@@ -138,6 +141,7 @@
   Listener listener_;
   bool waiting_ = false;  // connections wait to be accepted, for want of room or of what the system lacks
   bool draining_ = false;
+  Time stopping_ = 0;  // since when no new connection comes up; 0: they do, or the listener is closed
   bool yielded_ = false;
   CloseCounts closed_{};
   Slots<Client> clients_;
--- a/tests/faults.cpp
+++ b/tests/faults.cpp
@@ -261,6 +261,24 @@
   assert(Has(node.Log(), "draining-already"));
 }
 
+// A process that was held up reads what has come meanwhile before it acts on times that have passed: an
+// answer that waits to be read is no time-out.
+void HeldUpReadsFirst() {
+  const Peer host;
+  const Node node(program, ListOf(host), kNobody);
+  Conn client = node.Client();
+  client.Send(Ask("1", "{}", "0.800"));
+  Conn up = host.Accept();
+  up.Message();
+  node.Stop();
+  up.Send(kStream);
+  up.Chunk("data: x\n\n");
+  up.Chunk("");
+  usleep(1'000'000);
+  node.Continue();
+  assert(Has(client.Until("0\r\n\r\n"), "data: x"));
+}
+
 // The list that a node is given at its start may be old: it takes no client before discovery has told the
 // rest.
 void FirstListFirst() {
@@ -309,6 +327,7 @@
       {"ends-under-clients", EndsWhileClientsKeepComing},
       {"ends-unfinished", EndsWithUnfinishedRequests},
       {"ends-sooner", EndsSoonerBySettings},
+      {"held-up", HeldUpReadsFirst},
       {"first-list-first", FirstListFirst},
       {"pushed-lists", PushedLists}};
   signal(SIGPIPE, SIG_IGN);
--- a/tests/node_parts_test.cpp
+++ b/tests/node_parts_test.cpp
@@ -14,6 +14,7 @@
 #include "base/tcp.h"
 #include "base/whole_file.h"
 #include "core/start_times_model.h"
+#include "http/arrival_log.h"
 
 namespace ryeglade {
 namespace {
@@ -86,6 +87,23 @@
   uv_loop_close(&loop);
 }
 
+TEST(ArrivalLog, WhatWaitedBehindAnotherRequestCountsFromItsOwnArrival) {
+  ArrivalLog log;
+  EXPECT_EQ(log.First(99), 99);
+  log.Add(100, 10);
+  log.Add(50, 20);
+  log.Take(60);
+  EXPECT_EQ(log.First(99), 10);
+  log.Take(40);
+  EXPECT_EQ(log.First(99), 20);
+  log.Take(1'000);
+  EXPECT_EQ(log.First(99), 99);
+  for (std::size_t n = 0; n < 100'000; ++n)
+    log.Add(1, static_cast<Time>(n));  // bounded, and never later than it came
+  log.Take(90'000);
+  EXPECT_LE(log.First(0), static_cast<Time>(ArrivalLog::kMostEntries));
+}
+
 TEST(SocketErrors, ABrokenConnectionIsSkippedAndAShortageIsWaitedOut) {
   EXPECT_EQ(AfterAcceptError(EAGAIN), AcceptStep::kNoneWaiting);
   for (const int error : {ECONNABORTED, EINTR, EPROTO, ENETUNREACH, EHOSTUNREACH}) {
--- /dev/null
+++ b/tests/soak_tool.sh
@@ -0,0 +1,44 @@
+#!/usr/bin/env bash
+# What an operator of the soak types wrong is one line and a failure; an interrupted soak leaves no process behind.
+# `soak_tool.sh LAB`
+set -euo pipefail
+
+lab=$1
+dir=$(mktemp -d)
+trap 'rm -rf "$dir"' EXIT
+
+refused() {
+  local named=$1 out
+  shift
+  if out=$("$lab" soak "$@" 2>&1); then echo "taken: $*"; exit 1; fi
+  [ "$(grep -c . <<< "$out")" -le 2 ] || { echo "more than a line for $*: $out"; exit 1; }
+  grep -q -- "$named" <<< "$out" || { echo "'$named' is not named for $*: $out"; exit 1; }
+}
+
+refused "abc" --seeds abc
+refused "lowest first" --seeds 9-3
+refused "seconds" --seconds 1
+refused "'nothing'" --without nothing
+refused "cannot read" --plan "$dir/none.json"
+"$lab" soak --seeds 5 --seconds 10 --write-plan "$dir/plan.json"
+sed 's/"nodes": [0-9]*/"nodes": 99/' "$dir/plan.json" > "$dir/bad.json"
+refused "nodes" --plan "$dir/bad.json"
+
+# Its nodes' files lie in a directory of its own, which their command lines name.
+mkdir "$dir/tmp"
+TMPDIR=$dir/tmp "$lab" soak --seeds 1-2 --jobs 2 --seconds 20 > "$dir/out" 2>&1 &
+soak=$!
+for _ in $(seq 100); do
+  if grep -lzq "$dir/tmp" /proc/[0-9]*/cmdline 2> /dev/null; then break; fi
+  sleep 0.1
+done
+sleep 1
+kill -INT "$soak"
+if wait "$soak"; then echo "an interrupted soak says that all is well"; exit 1; fi
+for _ in $(seq 100); do
+  left=$(grep -lz "$dir/tmp" /proc/[0-9]*/cmdline 2> /dev/null || true)
+  [ -n "$left" ] || break
+  sleep 0.1
+done
+[ -z "$left" ] || { echo "left behind: $left"; exit 1; }
+echo ok
