--- a/tests/faults.cpp
+++ b/tests/faults.cpp
@@ -271,6 +271,7 @@
   Conn up = host.Accept();
   up.Message();
   node.Stop();
+  usleep(50'000);  // a process that has left its wait for sockets, and not one that is about to
   up.Send(kStream);
   up.Chunk("data: x\n\n");
   up.Chunk("");
