--- a/lab/soak/play.cpp
+++ b/lab/soak/play.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <netinet/in.h>
 #include <signal.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <charconv>
@@ -218,7 +219,7 @@
     Time looked = 0, waited = 0;  // how long it had waited for a core then
   };
   struct Node {
-    std::string listen, discovery, tmpdir;
+    std::string ip, listen, discovery, tmpdir;
     std::unique_ptr<lab::Directory> directory;
     std::unique_ptr<LinkRelay> links;
     std::vector<std::string> addresses;  // of the links, by replica
@@ -235,6 +236,12 @@
     std::from_chars(text.data(), text.data() + text.size(), value);
     return static_cast<Time>(value * 1e6);
   }
+  // An address of its own for each node of each play: nothing else on the machine takes a port there while a
+  // process is down.
+  static std::string NodeIp(std::size_t n) {
+    const auto pid = static_cast<unsigned>(getpid());
+    return fmt::format("127.{}.{}.{}", 30 + pid % 200, 1 + pid / 200 % 250, n + 1);
+  }
   std::string ReplicaName(std::size_t n) const { return fmt::format("s-{:02}", n); }
   std::string ZoneName(int zone) const { return fmt::format("z{}", zone); }
   const ClassTable& Classes(const Node& node) const {
@@ -274,7 +281,8 @@
 
   void SetUpNode(std::size_t n) {
     Node& node = nodes_[n];
-    node.listen = cluster::FreeAddress("127.0.0.1");
+    node.ip = NodeIp(n);
+    node.listen = cluster::FreeAddress(node.ip);
     node.tmpdir = fmt::format("{}/n{}", root_, n);
     std::filesystem::create_directory(node.tmpdir);
     node.links = std::make_unique<LinkRelay>(&run_);
@@ -320,7 +328,7 @@
     p.node = n;
     p.started = Now();
     history_.processes.push_back(p);
-    life.management = cluster::FreeAddress("127.0.0.1");
+    life.management = cluster::FreeAddress(node.ip);
     lab::NodeFiles files;
     files.config = ConfigOf(node, n, life.management);
     files.settings = "[log]\nlevel = \"info\"\nlines_per_second = 5000\n";
--- a/tests/faults.cpp
+++ b/tests/faults.cpp
@@ -20,17 +20,6 @@
   return List(generation, true, {Instance("s-a", host.at())});
 }
 
-// Answers the request that comes on the next connection, and takes it to its end.
-void ServeOne(const Peer& host, Conn& client, const std::string& id) {
-  client.Send(Ask(id));
-  Conn up = host.Accept();
-  assert(Has(up.Message(), "X-Call-Id: " + id));
-  up.Send(kStream);
-  up.Chunk("data: x\n\n");
-  up.Chunk("");
-  assert(Has(client.Until("0\r\n\r\n"), "data: x"));
-}
-
 // Nodes that start while one of these lives have the fault.
 class Preloaded {
  public:
@@ -66,7 +55,7 @@
     const Peer host;
     const Node node(program, ListOf(host), kNobody);
     Conn client = node.Client();
-    ServeOne(host, client, "1");
+    ServeOne(host, client);
     assert(fault.failures() > 0 && fault.failures() < 200);
   }
 }
@@ -78,7 +67,7 @@
     const Peer host;
     const Node node(program, ListOf(host), kNobody);
     Conn client = node.Client();
-    ServeOne(host, client, "1");
+    ServeOne(host, client);
     assert(fault.failures() > 0 && !Has(node.Log(), "accept-waits"));
   }
 }
@@ -91,7 +80,7 @@
     const Preloaded fault("connect:" + std::to_string(error) + ":200:" + std::to_string(host.port()));
     const Node node(program, ListOf(host), kNobody);
     Conn client = node.Client();
-    ServeOne(host, client, "1");
+    ServeOne(host, client);
     assert(fault.failures() > 0 && !Has(node.Log(), "attempt-ended"));
   }
 }
@@ -295,7 +284,7 @@
   const std::string log = node.Log();
   assert(log.find("scope=full") < log.find("event=listening "));
   Conn client = node.Client();
-  ServeOne(host, client, "1");
+  ServeOne(host, client);
   assert(!gone.Called(0));
 }
 
@@ -308,7 +297,7 @@
       discovery, List(3, false, {Instance("s-a", before.at(), "leaving"), Instance("s-b", after.at())}));
   node.WaitLog("generation=3");
   Conn client = node.Client();
-  ServeOne(after, client, "1");
+  ServeOne(after, client);
   assert(!before.Called(0));
 }
 
--- a/tests/node_parts_test.cpp
+++ b/tests/node_parts_test.cpp
@@ -14,6 +14,7 @@
 #include "base/tcp.h"
 #include "base/whole_file.h"
 #include "core/start_times_model.h"
+#include "dialects/openai/openai_dialect.h"
 #include "http/arrival_log.h"
 
 namespace ryeglade {
@@ -104,6 +105,21 @@
   EXPECT_LE(log.First(0), static_cast<Time>(ArrivalLog::kMostEntries));
 }
 
+// What an OpenAI-style engine says of an attempt: only its own word that it turned it away proves that it
+// never ran.
+TEST(OpenAiDialect, ABare503ProvesNothing) {
+  const OpenAiDialect dialect("");
+  const auto outcome = [&](int status, const char* retry_after) {
+    const auto reader = dialect.NewReader();
+    if (retry_after != nullptr) reader->OnHeader("Retry-After", retry_after);
+    return reader->AtEnd(status, false).outcome;
+  };
+  EXPECT_EQ(outcome(429, nullptr), policy::Outcome::kFull);
+  EXPECT_EQ(outcome(503, "2"), policy::Outcome::kFull);
+  EXPECT_EQ(outcome(503, nullptr), policy::Outcome::kError);
+  EXPECT_EQ(outcome(500, "2"), policy::Outcome::kError);
+}
+
 TEST(SocketErrors, ABrokenConnectionIsSkippedAndAShortageIsWaitedOut) {
   EXPECT_EQ(AfterAcceptError(EAGAIN), AcceptStep::kNoneWaiting);
   for (const int error : {ECONNABORTED, EINTR, EPROTO, ENETUNREACH, EHOSTUNREACH}) {
--- a/tests/operations.cpp
+++ b/tests/operations.cpp
@@ -12,8 +12,6 @@
 const std::string kNobody = "127.0.0.1:9";
 const nlohmann::json kAdmin = {{"management", "127.0.0.1:0"}};
 
-bool Has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
-
 struct One {  // a node with one upstream host and an admin listener
   Peer host;
   Node node{program, List(1, true, {Instance("s-a", host.at())}), kNobody, "push", 1024, 192, "", false,
@@ -29,13 +27,7 @@
 // Serves one request through `host`, which is called for it on a connection of its own.
 void Serves(const Node& node, const Peer& host, const std::string& id, const std::string& cls = "docs") {
   Conn client = node.Client();
-  client.Send(AskAs(id, cls));
-  Conn up = host.Accept();
-  assert(Has(up.Message(), "X-Call-Id: " + id));
-  up.Send(kStream);
-  up.Chunk("data: x\n\n");
-  up.Chunk("");
-  assert(Has(client.Until("0\r\n\r\n"), "data: x"));
+  ServeOne(host, client, id, AskAs(id, cls));
 }
 
 // The four calls, what each says, and what is no call at all.
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -318,4 +318,16 @@
   return watch;
 }
 
+// Sends a request on `client` (by default one of the id) and answers it at `host`, to its end.
+inline void ServeOne(const Peer& host, Conn& client, const std::string& id = "1",
+                     const std::string& request = "") {
+  client.Send(request.empty() ? Ask(id) : request);
+  Conn up = host.Accept();
+  assert(Has(up.Message(), "X-Call-Id: " + id));
+  up.Send(kStream);
+  up.Chunk("data: x\n\n");
+  up.Chunk("");
+  assert(Has(client.Until("0\r\n\r\n"), "data: x"));
+}
+
 }  // namespace stories
--- a/tests/stories.cpp
+++ b/tests/stories.cpp
@@ -19,8 +19,6 @@
   Node node{program, List(1, true, {Instance("s-a", host.at())}), kNobody};
 };
 
-bool Has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
-
 // Events pass unchanged, each as it comes; the last chunk only after the host's own; both connections go on.
 void Calm() {
   One w;
