Soak: answers that come twice, and memory that grows

The links of a soak can send an answer a second time, 1 to 8 ms after its last chunk; the checker compares a process's resident memory as its end begins with that at its start (64 MB).

--- a/lab/node_process.cpp
+++ b/lab/node_process.cpp
@@ -103,6 +103,13 @@
   std::filesystem::rename(directory_ + "/config.new", directory_ + "/config.json");
 }
 
+std::size_t NodeProcess::Resident() const {
+  std::ifstream in("/proc/" + std::to_string(pid_) + "/statm");  // pages: all, resident
+  std::size_t all = 0, resident = 0;
+  in >> all >> resident;
+  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 std::int64_t NodeProcess::WaitedForCore() const {
   std::ifstream in("/proc/" + std::to_string(pid_) + "/schedstat");  // nanoseconds: run, waited; then slices
   std::int64_t run = 0, waited = 0;
--- a/lab/node_process.h
+++ b/lab/node_process.h
@@ -36,6 +36,7 @@
   int status() const;  // the same of one that has ended
   void Write(const std::string& config) const;  // the configuration that SIGHUP reads again
   std::size_t Descriptors() const;              // open now
+  std::size_t Resident() const;                 // bytes of memory
   std::int64_t WaitedForCore() const;           // microseconds for which it could have run and did not
   pid_t pid() const { return pid_; }
 
--- a/lab/soak/checker_model.cpp
+++ b/lab/soak/checker_model.cpp
@@ -49,7 +49,8 @@
 // SIGHUP takes effect some time after the signal, and a file may be turned down: any table in force around
 // the request's arrival may be the one that the node went by.
 constexpr Time kReloadWithin = 1 * kSecond;
-constexpr std::size_t kMoreDescriptors = 128;  // than it had when it became ready
+constexpr std::size_t kMoreDescriptors = 128;               // than it had when it became ready
+constexpr std::size_t kMoreMemory = std::size_t{64} << 20;  // bytes; a node of these soaks buffers little
 
 std::string Seconds(const History& h, Time t) {
   return fmt::format("{:.3f}", static_cast<double>(t - h.begin) / 1e6);
@@ -429,6 +430,10 @@
       broken(p.ended, fmt::format("had {} descriptors at its end, {} at its start", p.last_descriptors,
                                   p.first_descriptors));
     }
+    if (p.last_memory > p.first_memory + kMoreMemory) {
+      broken(p.ended,
+             fmt::format("took {} MB more than at its start", (p.last_memory - p.first_memory) >> 20));
+    }
     if (p.shot || p.ended == 0) return;
     if (p.told_end == 0) return broken(p.ended, fmt::format("ended by itself with {}", p.status));
     if (p.killed != 0) {
--- a/lab/soak/history_model.h
+++ b/lab/soak/history_model.h
@@ -105,7 +105,8 @@
   int status = -1;          // exit code; 128 and more: a signal
   std::vector<Span> stops;  // it was held up: by SIGSTOP, or as it waited for a core
   std::size_t first_descriptors = 0, last_descriptors = 0;
-  std::string counters;  // as last read
+  std::size_t first_memory = 0, last_memory = 0;  // resident bytes, as it became ready and as its end began
+  std::string counters;                           // as last read
 };
 
 // The class table that a node was told to use.
--- a/lab/soak/link_relay.cpp
+++ b/lab/soak/link_relay.cpp
@@ -8,7 +8,9 @@
 namespace ryeglade::soak {
 namespace {
 
-constexpr Time kLookAgain = 20'000;  // at a silent link, for what it holds
+constexpr Time kLookAgain = 20'000;   // at a silent link, for what it holds
+constexpr Time kTwiceWithin = 7'000;  // for a second answer
+constexpr std::size_t kMostRepeated = 64 * 1024;
 
 int PortOf(const sockaddr_storage& address) {
   return ntohs(reinterpret_cast<const sockaddr_in&>(address).sin_port);
@@ -119,9 +121,25 @@
     if (a->from_node && view.began == 0) view.began = Now();
   }
   a->held.emplace_back(bytes);
+  if (!a->from_node && l.twice) Repeat(side, bytes);
   Move(side);
 }
 
+void LinkRelay::Repeat(Handle side, std::string_view bytes) {
+  Side& a = *sides_.Get(side);
+  if (bytes.starts_with("HTTP/1.1 ")) a.answer.clear();
+  a.answer.append(bytes);
+  if (a.answer.size() > kMostRepeated) a.answer.clear();
+  if (!a.answer.starts_with("HTTP/1.1 200") || !a.answer.ends_with("0\r\n\r\n")) return;
+  const Time later = 1'000 + Now() % kTwiceWithin;
+  run_->deadlines->Set(Now() + later, [this, side, answer = std::exchange(a.answer, {})] {
+    Side* s = sides_.Get(side);
+    if (s == nullptr) return;
+    s->held.push_back(answer);
+    Move(side);
+  });
+}
+
 // The next piece goes over the link; the others wait behind it.
 void LinkRelay::Move(Handle side) {
   Side* a = sides_.Get(side);
--- a/lab/soak/link_relay.h
+++ b/lab/soak/link_relay.h
@@ -49,6 +49,8 @@
   // The next so many requests are reset after their first bytes.
   void ResetUnderRequests(std::size_t link, int requests) { links_[link]->reset_under = requests; }
   void ResetAll(std::size_t link);
+  // Answers come a second time, a few milliseconds after their last chunk.
+  void SetTwice(std::size_t link, bool twice) { links_[link]->twice = twice; }
 
   // The last connection over a link whose way to the replica comes from this port; null: there was none. A
   // port may be in use on several links at once.
@@ -65,7 +67,7 @@
     sockaddr_storage replica{};
     std::unique_ptr<Listener> listener;
     Time delay = 0;
-    bool late = false, silent = false;
+    bool late = false, silent = false, twice = false;
     int reset_under = 0;
   };
   struct Side {  // one end of a connection that passes through
@@ -75,10 +77,12 @@
     bool from_node = false, connected = false, ended = false, moving = false;
     int port = 0;                  // of the way to the replica
     std::deque<std::string> held;  // read here and not yet written at the other end
+    std::string answer;            // that has passed, as far as it may have to be repeated
   };
 
   void Accept(std::size_t link);
   void Move(Handle side);
+  void Repeat(Handle side, std::string_view bytes);
   void Drop(Handle side);
 
   const Runtime* run_;
--- a/lab/soak/plan.cpp
+++ b/lab/soak/plan.cpp
@@ -22,10 +22,10 @@
 constexpr Time kMillisecond = 1'000;
 
 constexpr std::array<const char*, static_cast<std::size_t>(FaultKind::kCount)> kWords = {
-    "term",       "term-twice", "hup",       "hup-settings", "kill",  "stop",        "hot-restart",
-    "hang",       "stall",      "break",     "reset",        "error", "reject",      "slow",
-    "close-idle", "drain",      "restart",   "late",         "delay", "reset-links", "reset-under",
-    "dark",       "silent",     "slow-list", "leave"};
+    "term",       "term-twice", "hup",     "hup-settings", "kill",  "stop",        "hot-restart",
+    "hang",       "stall",      "break",   "reset",        "error", "reject",      "slow",
+    "close-idle", "drain",      "restart", "late",         "delay", "reset-links", "reset-under",
+    "twice",      "dark",       "silent",  "slow-list",    "leave"};
 
 constexpr std::array<const char*, 3> kEffects = {"free", "guarded", "single_shot"};
 constexpr std::array<const char*, 3> kScopes = {"all", "zone", "cell"};
@@ -132,7 +132,7 @@
   }
 
   void Other(Time at) {
-    switch (chance_.Below(19)) {
+    switch (chance_.Below(20)) {
       case 0:
         Add(at, FaultKind::kHupSettings);
         return;
@@ -184,6 +184,9 @@
       case 16:
         Add(at, FaultKind::kResetUnder, 0, 1);
         return;
+      case 18:
+        Add(at, FaultKind::kTwice, Between(chance_, kSecond, 5 * kSecond));
+        return;
       case 17:
         Discovery(at);
         return;
--- a/lab/soak/plan.h
+++ b/lab/soak/plan.h
@@ -35,6 +35,7 @@
   kDelay,       // bytes come later
   kResetLinks,  // all connections are reset
   kResetUnder,  // requests are reset after their first bytes
+  kTwice,       // answers come a second time, some milliseconds later
   // Discovery.
   kDark,
   kSilent,
--- a/lab/soak/play.cpp
+++ b/lab/soak/play.cpp
@@ -365,6 +365,7 @@
     if (p.ready == 0 && life.process.Log().find("event=listening addr=") != std::string::npos) {
       p.ready = Now();
       p.first_descriptors = life.process.Descriptors();
+      p.first_memory = life.process.Resident();
     }
     if (life.process.Running()) return;
     life.ended = true;
@@ -402,6 +403,7 @@
     if (life.ended || life.process.pid() <= 0) return;
     Process& p = life.record();
     p.last_descriptors = life.process.Descriptors();
+    p.last_memory = life.process.Resident();
     try {
       p.counters = HttpCall("the node", life.management, "GET", "/control/counters", "", kCallPatience).body;
     } catch (const std::runtime_error&) {
@@ -471,6 +473,7 @@
       case FaultKind::kDelay:
       case FaultKind::kResetLinks:
       case FaultKind::kResetUnder:
+      case FaultKind::kTwice:
         return SpoilLinks(f);
       case FaultKind::kDark:
       case FaultKind::kSilent:
@@ -580,12 +583,14 @@
       if (f.kind == FaultKind::kResetLinks) links.ResetAll(f.replica);
       if (f.kind == FaultKind::kResetUnder) links.ResetUnderRequests(f.replica, kRequestsReset);
       if (f.kind == FaultKind::kLate) links.SetLate(f.replica, true);
+      if (f.kind == FaultKind::kTwice) links.SetTwice(f.replica, true);
       if (f.kind == FaultKind::kDelay) links.SetDelay(f.replica, kLinkDelay);
     }
     if (f.lasts == 0) return;
     deadlines_.Set(Now() + f.lasts, [this, f] {
       for (Node& node : nodes_) {
         if (f.kind == FaultKind::kLate) node.links->SetLate(f.replica, false);
+        if (f.kind == FaultKind::kTwice) node.links->SetTwice(f.replica, false);
         if (f.kind == FaultKind::kDelay) node.links->SetDelay(f.replica, 0);
       }
     });
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -290,6 +290,8 @@
   Check("shot by the plan", {}, process([](Process& p) { p.told_end = 0, p.shot = true, p.status = 137; }));
   Check("grown", {Rule::kProcess},
         process([](Process& p) { p.first_descriptors = 20, p.last_descriptors = 200; }));
+  Check("fat", {Rule::kProcess},
+        process([](Process& p) { p.first_memory = 1 << 20, p.last_memory = 80 << 20; }));
   Check("a stream under way", {}, [](Story& s) {
     Process& p = s.h.processes[0];
     p.killed = p.ended = p.may_kill, p.status = 137;
