--- a/lab/soak/link_relay.cpp
+++ b/lab/soak/link_relay.cpp
@@ -10,7 +10,7 @@
 
 constexpr Time kLookAgain = 20'000;   // at a silent link, for what it holds
 constexpr Time kTwiceWithin = 7'000;  // for a second answer
-constexpr std::size_t kMostRepeated = 64 * 1024;
+constexpr std::size_t kMostRepeated = std::size_t{64} * 1024;
 
 int PortOf(const sockaddr_storage& address) {
   return ntohs(reinterpret_cast<const sockaddr_in&>(address).sin_port);
--- a/lab/soak/play.cpp
+++ b/lab/soak/play.cpp
@@ -195,12 +195,10 @@
         a.end = AttemptEnd::kError;
         break;
       case lab::AttemptOver::kReset:
+      case lab::AttemptOver::kNodeClosed:  // the link broke: had the node closed it, its own end would have
+                                           // said so
         a.end = AttemptEnd::kReset;
         break;
-      case lab::AttemptOver::kNodeClosed:
-        a.end =
-            AttemptEnd::kReset;  // the link broke; had the node closed it, its end of the link had said so
-        break;
     }
   }
 
@@ -300,6 +298,7 @@
 
   std::string ConfigOf(const Node& node, std::size_t n, const std::string& management) const {
     std::vector<std::string> zones;
+    zones.reserve(static_cast<std::size_t>(plan_.zones));
     for (int z = 0; z < plan_.zones; ++z) zones.push_back(ZoneName(z));
     nlohmann::json config =
         nlohmann::json::parse(lab::ConfigJson(node.listen, node.discovery, node.directory->Text(true)));
--- a/lab/soak/users.cpp
+++ b/lab/soak/users.cpp
@@ -20,7 +20,7 @@
 
 }  // namespace
 
-Users::Users(const Runtime* run, const Plan& plan, std::vector<std::string> addresses)
+Users::Users(const Runtime* run, const Plan& plan, const std::vector<std::string>& addresses)
     : run_(run), plan_(plan) {
   for (const std::string& text : addresses) {
     if (!ParseAddress(text, &addresses_.emplace_back())) throw std::runtime_error("no address: " + text);
--- a/lab/soak/users.h
+++ b/lab/soak/users.h
@@ -22,7 +22,7 @@
 class Users : public TcpOwner {
  public:
   // `addresses`: where each node takes clients.
-  Users(const Runtime* run, const Plan& plan, std::vector<std::string> addresses);
+  Users(const Runtime* run, const Plan& plan, const std::vector<std::string>& addresses);
   ~Users() override { Close(); }
   Users(const Users&) = delete;
   Users& operator=(const Users&) = delete;
