--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -191,9 +191,13 @@
   }
   void Inherit(handover::State state) override {
     const std::string& known = core_.config->known;
-    const bool same_list = state.discovery == discovery_.address() && !state.roster.empty();
+    // Generations mean something only among lists of one discovery. The other process may have been cut off
+    // from it for some time: of the two lists the newer one counts.
+    const bool same_discovery = state.discovery == discovery_.address();
+    const bool inherits =
+        same_discovery && !state.roster.empty() && GenerationOf(state.roster) >= GenerationOf(known);
     inherited_ = true;
-    discovery_.Known(same_list ? state.roster : known);
+    discovery_.Known(inherits ? state.roster : known);
     handover::FitTo(ClassNames(config_.settings), &state);
     decisions_.Post(policy::Inherited{std::make_shared<const policy::Learned>(std::move(state.learned))});
   }
--- a/src/core/discovery.cpp
+++ b/src/core/discovery.cpp
@@ -27,6 +27,14 @@
 
 }  // namespace
 
+std::uint64_t GenerationOf(const std::string& list) {
+  const json parsed = json::parse(list, nullptr, false);
+  if (!parsed.is_object()) return 0;
+  const auto generation = parsed.find("generation");
+  return generation != parsed.end() && generation->is_number_unsigned() ? generation->get<std::uint64_t>()
+                                                                        : 0;
+}
+
 ReplicaId Discovery::IdOf(const std::string& instance) {
   const auto known = ids_.find(instance);
   if (known != ids_.end()) return known->second;
--- a/src/core/discovery.h
+++ b/src/core/discovery.h
@@ -19,6 +19,9 @@
 
 namespace ryeglade {
 
+// The generation that a list in discovery's form tells; 0: it is none.
+std::uint64_t GenerationOf(const std::string& list);
+
 class Discovery : public TcpOwner, public MembershipPort {
  public:
   static constexpr std::size_t kSockets = 4;
--- a/tests/operations.cpp
+++ b/tests/operations.cpp
@@ -299,6 +299,26 @@
   Serves(*young, w.host, "99");
 }
 
+// The old process was cut off from discovery; the list that the new one is started with is newer than what it
+// is handed, and counts.
+void HandsOverNewerList() {
+  Beside2 w;
+  const Peer other;
+  auto old = w.Start();
+  Serves(*old, w.host, "1");
+  w.list = List(5, true, {Instance("s-a", w.host.at(), "leaving"), Instance("s-b", other.at())});
+  auto young = w.Start();
+  assert(Has(young->Log(), "event=hand-over-taken"));
+  old->WaitLog("event=hand-over-yields");
+  Serves(*young, other, "2");
+  old->Term();
+  assert(old->Exit() == 0);
+  w.list = List(3, true, {Instance("s-a", w.host.at())});  // and an older one does not
+  auto third = w.Start();
+  young->WaitLog("event=hand-over-yields");
+  Serves(*third, other, "3");
+}
+
 // A new process that dies after its yes, hangs, or is told to end: the old one takes clients again.
 void TakesUpAgain() {
   Beside2 w;
@@ -349,11 +369,17 @@
 
 int main(int argc, char** argv) {
   using namespace stories;
-  const std::map<std::string, void (*)()> all = {
-      {"calls", Calls},           {"by-hand", ByHand},       {"slow-callers", SlowCallers},
-      {"beside", Beside},         {"holds-pass", HoldsPass}, {"holds-torn", HoldsTorn},
-      {"retunes", Retunes},       {"hands-over", HandsOver}, {"takes-up-again", TakesUpAgain},
-      {"state-aside", StateAside}};
+  const std::map<std::string, void (*)()> all = {{"calls", Calls},
+                                                 {"by-hand", ByHand},
+                                                 {"slow-callers", SlowCallers},
+                                                 {"beside", Beside},
+                                                 {"holds-pass", HoldsPass},
+                                                 {"holds-torn", HoldsTorn},
+                                                 {"retunes", Retunes},
+                                                 {"hands-over", HandsOver},
+                                                 {"takes-up-again", TakesUpAgain},
+                                                 {"state-aside", StateAside},
+                                                 {"hands-over-newer", HandsOverNewerList}};
   signal(SIGPIPE, SIG_IGN);
   assert(argc == 3 && all.contains(argv[2]));
   program = argv[1];
