Soak: a slow link delays each piece for itself, not one behind the other

The link to it was slow (60 ms), and the relay let one piece pass each 60 ms, so that it held over a second of a stream that its replica had ended, when the plan made the link silent; the checker looks for such a fault up to 0.1 s behind the stream's end. Ruled out: the node (it cut after 4 s of silence on both, as it has to). Change: pieces have a time each at which they are due.

--- a/lab/soak/link_relay.cpp
+++ b/lab/soak/link_relay.cpp
@@ -120,7 +120,7 @@
     if (!a->from_node) view.began = 0;
     if (a->from_node && view.began == 0) view.began = Now();
   }
-  a->held.emplace_back(bytes);
+  a->held.push_back({Now() + l.delay, std::string(bytes)});
   if (!a->from_node && l.twice) Repeat(side, bytes);
   Move(side);
 }
@@ -135,40 +135,33 @@
   run_->deadlines->Set(Now() + later, [this, side, answer = std::exchange(a.answer, {})] {
     Side* s = sides_.Get(side);
     if (s == nullptr) return;
-    s->held.push_back(answer);
+    s->held.push_back({Now(), answer});
     Move(side);
   });
 }
 
-// The next piece goes over the link; the others wait behind it.
+// What is due goes over the link, in order; the rest waits for its time, or for the link to speak again.
 void LinkRelay::Move(Handle side) {
   Side* a = sides_.Get(side);
   if (a == nullptr || a->moving) return;
   Side* b = sides_.Get(a->other);
   if (b == nullptr || !b->connected) return;
-  const Link& l = *links_[a->link];
-  while (l.delay == 0 && !l.silent && !a->held.empty()) {
-    const std::string piece = std::move(a->held.front());
+  const bool silent = links_[a->link]->silent;
+  while (!silent && !a->held.empty() && a->held.front().due <= Now()) {
+    const std::string bytes = std::move(a->held.front().bytes);
     a->held.pop_front();
-    if (!b->tcp->Write(piece)) return Drop(side);
+    if (!b->tcp->Write(bytes)) return Drop(side);
   }
   if (a->held.empty()) {
     if (a->ended) Drop(side);
     return;
   }
   a->moving = true;
-  const bool silent = l.silent;
-  run_->deadlines->Set(Now() + (silent ? kLookAgain : l.delay), [this, side, silent] {
-    Side* s = sides_.Get(side);
-    if (s == nullptr) return;
-    s->moving = false;
-    Side* o = sides_.Get(s->other);
-    if (!silent && !links_[s->link]->silent && o != nullptr && !s->held.empty()) {
-      const std::string piece = std::move(s->held.front());
-      s->held.pop_front();
-      if (!o->tcp->Write(piece)) return Drop(side);
+  run_->deadlines->Set(silent ? Now() + kLookAgain : a->held.front().due, [this, side] {
+    if (Side* s = sides_.Get(side)) {
+      s->moving = false;
+      Move(side);
     }
-    Move(side);
   });
 }
 
--- a/lab/soak/link_relay.h
+++ b/lab/soak/link_relay.h
@@ -70,14 +70,18 @@
     bool late = false, silent = false, twice = false;
     int reset_under = 0;
   };
+  struct HeldPiece {
+    Time due = 0;  // at the other end
+    std::string bytes;
+  };
   struct Side {  // one end of a connection that passes through
     Tcp* tcp = nullptr;
     Handle other = 0;
     std::size_t link = 0;
     bool from_node = false, connected = false, ended = false, moving = false;
-    int port = 0;                  // of the way to the replica
-    std::deque<std::string> held;  // read here and not yet written at the other end
-    std::string answer;            // that has passed, as far as it may have to be repeated
+    int port = 0;                // of the way to the replica
+    std::deque<HeldPiece> held;  // read here and not yet written at the other end
+    std::string answer;          // that has passed, as far as it may have to be repeated
   };
 
   void Accept(std::size_t link);
