Rollout: a stage whose failures are doubtful waits for more requests

Seen: beside load, stage 1 of a release that fails streams ended after its 100 requests with 0.22 +- 0.19 failed against a guard of 0.02, and stage 2 began. Cause: Verdict::Judge (verdict_model.cpp) calls a release good as soon as there are enough requests and the half width is under 'sure', also while the figure itself lies above its guard by more than chance makes likely. Ruled out: the sampling of figures (the numbers added up) and the machine's load, which only made samples arrive later.

Now a figure over all classes that exceeds its guard by more than half of its half width is doubtful, and a stage waits, for at most four times its requests.

Verdict.AStageWhoseFailuresAreDoubtfulWaitsForMoreRequests fails without it.

--- a/src/rollout/verdict_model.cpp
+++ b/src/rollout/verdict_model.cpp
@@ -17,6 +17,10 @@
 constexpr double kStart = 10;         // requests of a process that are its start: cold, and not counted
 constexpr double kTuned = 500;        // information at which the boundary is tightest, as 1/variance
 constexpr double kWarmMemory = 0.02;  // of the limit: growth below it is a start
+// A difference that exceeds its guard by this part of its half width is doubtful: not proven, but a release
+// that is no worse stays below it on nineteen of twenty looks.
+constexpr double kDoubtful = 0.5;
+constexpr std::uint64_t kDoubtfulFor = 4;  // times the requests of a stage: by then harm has shown itself
 
 double Less(std::uint64_t now, std::uint64_t before) {
   return now > before ? static_cast<double>(now - before) : 0;
@@ -167,6 +171,7 @@
                             guards_.attempts};
   c.allowed = allowed[what];
   c.worse = c.difference - c.half > c.allowed;
+  c.doubtful = c.difference - kDoubtful * c.half > c.allowed;
   return c;
 }
 
@@ -259,6 +264,9 @@
         std::none_of(nodes_.begin(), nodes_.end(), [](const auto& n) { return !n.second.fresh; });
     sure = alone || (failed.half < 1e6 && failed.by_chance <= guards_.sure);
   }
+  const auto of_all = [](const Comparison& c) { return c.cls == kAll; };
+  const bool doubtful = std::any_of(out.comparisons.begin(), out.comparisons.end(),
+                                    [&](const Comparison& c) { return of_all(c) && c.doubtful; });
   for (const Comparison& c : out.comparisons) {
     if (!c.worse) continue;
     const auto over = [&](const Comparison& x) {
@@ -289,7 +297,9 @@
       return out;
     }
   }
-  if (out.least_new >= least_requests && (sure || least_requests == 0)) out.judgement = Judgement::kGood;
+  const bool settled = !doubtful || out.least_new >= kDoubtfulFor * least_requests;
+  const bool enough = out.least_new >= least_requests && sure && settled;
+  if (enough || least_requests == 0) out.judgement = Judgement::kGood;
   return out;
 }
 
--- a/src/rollout/verdict_model.h
+++ b/src/rollout/verdict_model.h
@@ -53,6 +53,7 @@
   double by_chance = 0;             // the half that single requests' chance alone would leave
   double allowed = 0;
   bool worse = false;
+  bool doubtful = false;  // it may be worse: more requests are wanted before the release counts as good
 };
 
 struct Outcome {
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -625,5 +625,34 @@
   EXPECT_EQ(judge(0.01), rollout::Judgement::kWorse);
 }
 
+// Beside load a stage of 100 requests ended with 0.22 +- 0.19 failed, and the next one began.
+TEST(Verdict, AStageWhoseFailuresAreDoubtfulWaitsForMoreRequests) {
+  rollout::Guards wide;
+  wide.failed = 0.02;
+  wide.sure = 1;
+  wide.late = wide.slower = wide.attempts = 10;
+  rollout::Verdict verdict(wide);
+  rollout::Figures figures[2];
+  const auto serve = [&](int node, int second, std::uint64_t served, std::uint64_t failed) {
+    figures[node].pid = node + 1;
+    rollout::ClassFigures& c = figures[node].classes["docs"];
+    c.served += served, c.in_time += served, c.failed += failed;
+    verdict.Add(second * 1'000'000LL, node == 0 ? "new" : "old", "a", node == 0, figures[node]);
+  };
+  constexpr std::uint64_t kLeast = 100;
+  int second = 0;
+  bool waited = false;
+  rollout::Outcome outcome;
+  while (outcome.judgement != rollout::Judgement::kWorse && ++second < 60) {
+    serve(0, second, 8, 2);
+    serve(1, second, 10, 0);
+    outcome = verdict.Judge(kLeast);
+    EXPECT_NE(outcome.judgement, rollout::Judgement::kGood) << "second " << second;
+    waited = waited || (outcome.least_new >= kLeast && outcome.judgement == rollout::Judgement::kWait);
+  }
+  EXPECT_TRUE(waited);
+  EXPECT_EQ(outcome.judgement, rollout::Judgement::kWorse);
+}
+
 }  // namespace
 }  // namespace ryeglade
