Ends, lists and repeats that cross each other: look at the socket, and at the newer word

From reading shutdown, watches, idle connections and attempts line by line (docs/guarantees.md, crossings). Each fault, its lines, and the test that fails without:

- A resting connection was closed outright; a request that came between decision and close reset it.
- Discovery::OnRead took one line for one object; lists may come indented.
- Lines of the watch that is left, read after the whole list of the new address, put drained replicas back in use.
- Limits of a call and of silence added up to more than 6 s with one failed call: 2.8 + 0.6 + 2.5 + 1.2 + ...; now 2.5 + 0.3 + 1.2 + 0.6 + 1.2.
- Where lists are pushed a new process took clients by the list in its file.
Node::Serve. faults_first-pushed-list-first.
Tests that answered the watch after the node listens now do it while it starts.
The address is tried at once (Listener::Check), so that ryeglade_process still sees one line.
- Tcp::unsent counted what the kernel had taken until libuv's callback.
That it made 'could not connect' of a reset was not found: libuv reports finished writes before it polls again.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -165,13 +165,22 @@
   void Serve() override {
     if (taking_ || starting_ || !failed_.empty()) return;
     starting_ = true;
-    if (!inherited_) discovery_.Known(core_.config->known);
-    if (!config_.settings.ask_for_list) discovery_.KeepWatch();
-    if (inherited_ || !config_.settings.ask_for_list) return TakeClients();
-    // The list known at the start may be old: no client is taken before discovery has told what has changed,
-    // cannot be reached, or has let this long pass.
+    if (inherited_) {
+      if (!config_.settings.ask_for_list) discovery_.KeepWatch();
+      return TakeClients();
+    }
+    discovery_.Known(core_.config->known);
+    try {
+      downstream_.CheckListen();  // so that an address that can't be used shows at once
+    } catch (const std::runtime_error& e) {
+      return Fail(e.what());
+    }
+    // The list known at the start may be old, and where lists are pushed what has changed counts as told from
+    // the first moment on: no client is taken before discovery has told it, cannot be reached, or has let
+    // this long pass.
     discovery_.OnFirstAnswer([this] { deadlines_.Set(Now(), [this] { TakeClients(); }); });
     deadlines_.Set(Now() + kFirstListWithin, [this] { TakeClients(); });
+    if (!config_.settings.ask_for_list) discovery_.KeepWatch();
   }
 
   void TakeClients() {
--- a/src/base/listener.cpp
+++ b/src/base/listener.cpp
@@ -42,32 +42,38 @@
   return ntohs(reinterpret_cast<const sockaddr_in*>(&bound)->sin_port);  // stands there in both families
 }
 
-bool BindAndListen(int fd, const sockaddr_storage& address, bool share_port) {
+[[noreturn]] void Fail(const std::string& address, const char* why) {
+  throw std::runtime_error("cannot listen on " + address + ": " + why);
+}
+
+// A socket that is bound to `address` and does not listen yet; throws std::runtime_error.
+int Bound(const std::string& address, bool share_port) {
+  sockaddr_storage at{};
+  if (!ParseAddress(address, &at)) Fail(address, "not an ip:port");
+  Descriptor bound(socket(at.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   const int on = 1;
-  if (setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0) return false;
-  if (share_port && setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on) != 0) return false;
-  const auto* to = reinterpret_cast<const sockaddr*>(&address);
-  return bind(fd, to, LengthOf(to)) == 0 && listen(fd, kBacklog) == 0;
+  const auto* to = reinterpret_cast<const sockaddr*>(&at);
+  const bool good = bound.get() >= 0 &&
+                    setsockopt(bound.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0 &&
+                    (!share_port || setsockopt(bound.get(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof on) == 0) &&
+                    bind(bound.get(), to, LengthOf(to)) == 0;
+  if (!good) Fail(address, uv_strerror(uv_translate_sys_error(errno)));
+  return bound.Release();
 }
 
 }  // namespace
 
 Listener::Listener(uv_loop_t* loop, std::function<void()> ready) : loop_(loop), ready_(std::move(ready)) {}
 
+void Listener::Check(const std::string& address, bool share_port) { Descriptor(Bound(address, share_port)); }
+
 std::string Listener::Listen(const std::string& address, bool share_port) {
-  const auto fail = [&](const char* why) {
-    throw std::runtime_error("cannot listen on " + address + ": " + why);
-  };
-  sockaddr_storage at{};
-  if (!ParseAddress(address, &at)) fail("not an ip:port");
-  Descriptor socket_fd(socket(at.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  if (socket_fd.get() < 0 || !BindAndListen(socket_fd.get(), at, share_port)) {
-    fail(uv_strerror(uv_translate_sys_error(errno)));
-  }
+  Descriptor socket_fd(Bound(address, share_port));
+  if (listen(socket_fd.get(), kBacklog) != 0) Fail(address, uv_strerror(uv_translate_sys_error(errno)));
   auto* poll = new uv_poll_t;
   if (const int error = uv_poll_init(loop_, poll, socket_fd.get()); error != 0) {
     delete poll;
-    fail(uv_strerror(error));
+    Fail(address, uv_strerror(error));
   }
   poll->data = this;
   poll_ = poll;
--- a/src/base/listener.h
+++ b/src/base/listener.h
@@ -16,6 +16,8 @@
 
   // Binds and listens on `address` ("ip:port"; port 0: the kernel chooses). With `share_port` a second
   // process may listen on the same address. Returns the address in use; throws std::runtime_error.
+  // Throws as Listen would, if `address` can't be listened on; changes nothing.
+  static void Check(const std::string& address, bool share_port);
   std::string Listen(const std::string& address, bool share_port);
   bool listening() const { return poll_ != nullptr; }
 
--- a/src/base/tcp.cpp
+++ b/src/base/tcp.cpp
@@ -99,6 +99,7 @@
   std::size_t taken = 0;
   if (unsent() == 0) {
     std::vector<uv_buf_t> bufs;
+    bufs.reserve(parts.size());
     for (const std::string_view part : parts) {
       bufs.push_back(uv_buf_init(const_cast<char*>(part.data()), static_cast<unsigned>(part.size())));
     }
--- a/src/base/tcp.h
+++ b/src/base/tcp.h
@@ -38,7 +38,9 @@
   // spent, and the owner should close.
   bool Write(std::string_view bytes) { return Write({bytes}); }
   bool Write(std::initializer_list<std::string_view> parts);
-  std::size_t unsent() const { return sending_.size() + queued_.size(); }
+  // Bytes that the kernel has not taken yet. libuv reports a write as done only on a later turn of its loop;
+  // until then `sending_` still holds bytes that may have reached the peer.
+  std::size_t unsent() const { return uv_stream_get_write_queue_size(stream()) + queued_.size(); }
   sockaddr_storage Peer() const;   // all zero: not known
   sockaddr_storage Local() const;  // the same of this end
   void Reset();                    // Close sends a reset, and drops what is unsent
@@ -51,6 +53,7 @@
   Tcp(Buffers* pool, TcpOwner* owner, Handle handle)
       : pool_(pool), owner_(owner), handle_(handle), sending_(pool), queued_(pool) {}
   uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&tcp_); }
+  const uv_stream_t* stream() const { return reinterpret_cast<const uv_stream_t*>(&tcp_); }
   bool Send();
 
   uv_tcp_t tcp_{};
--- a/src/core/discovery.cpp
+++ b/src/core/discovery.cpp
@@ -16,13 +16,15 @@
 using policy::ReplicaId;
 using policy::ReplicaList;
 
-constexpr Time kConnectWithin = 1'000'000;
-constexpr Time kAnswerWithin = 1'500'000;
-// An idle watch says something every 2 s. Guards against one that is cut off without a word: changes count as
-// told 6 s later whether they arrived or not, and asking anew takes its time too.
-constexpr Time kLineWithin = 2'800'000;
-constexpr Time kMoveAgain = 250'000;   // a move that failed is tried again after this, up to twice that
-constexpr Time kWatchAgain = 200'000;  // a kept watch is opened again after this, up to twice that
+// Changes count as told 6 s after a watch fell silent, whether they arrived or not. Within that must fit: the
+// silence itself, a wait of the module (0.3 s at most after a first failure), a call that fails at its limit,
+// a second wait (0.6 s), and a call that is answered at its limit. Discovery gives up on calls after 1 s.
+constexpr Time kConnectWithin = 700'000;
+constexpr Time kAnswerWithin = 1'200'000;
+constexpr Time kLineWithin = 2'500'000;  // an idle watch says something every 2 s
+constexpr Time kMoveAgain = 250'000;     // a move that failed is tried again after this, up to twice that
+constexpr Time kWatchAgain = 200'000;    // a kept watch is opened again after this, up to twice that
+constexpr double kNoCell = -1;
 constexpr std::size_t kMostText = std::size_t{8} * 1024 * 1024;
 
 }  // namespace
@@ -47,6 +49,7 @@
 }
 
 void Discovery::Known(const std::string& text) {
+  begun_ = true;
   const json list = json::parse(text, nullptr, false);
   if (list.is_object() && Apply(list, ListScope::kCached, "known")) return;
   core_->events->Post(ReplicaList{ListScope::kCached, 0, {}});
@@ -74,6 +77,8 @@
 }
 
 void Discovery::Watch(bool on) {
+  // A move that the module knows nothing of may have come first.
+  if (on && (moving_ != 0 || (watch_ != 0 && !strange_))) return;
   Drop(watch_);
   watch_ = 0;
   if (!on) return;
@@ -93,8 +98,9 @@
   if (address == address_) return;
   address_ = address;
   strange_ = true;
-  // The module that does not watch asks when it wants to.
-  if (watch_ != 0 || moving_ != 0) Move();
+  // At once: what the module waits for, if it does, is the old address, and it may wait for seconds. But a
+  // process that waits for its predecessor's list has nothing yet that a newer list could be held against.
+  if (begun_) Move();
 }
 
 void Discovery::Move() {
@@ -220,50 +226,92 @@
   if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK) return Failed(handle, "malformed");
   if (c->status != 0 && c->status != 200) return Failed(handle, "status");
   if (c->watch) {
-    std::string text = std::exchange(c->text, {});
-    std::size_t from = 0;
-    for (std::size_t end = 0; (end = text.find('\n', from)) != std::string::npos; from = end + 1) {
-      const std::string_view line = std::string_view(text).substr(from, end - from);
-      const bool empty = line.find_first_not_of(" \r\t") == std::string_view::npos;
-      Expect(handle, kLineWithin);
-      if (!empty && !Apply(line, false, handle != old_)) return Failed(handle, "malformed");
-      if (handle == watch_) Drop(std::exchange(old_, 0));
-      c = calls_.Get(handle);  // what was told may have led to another call
-      if (c == nullptr) return;
-      if (!empty && !std::exchange(c->answered, true))
-        Log(Level::kInfo, "watching", {{"generation", static_cast<unsigned long long>(generation_)}});
-    }
-    c->text = text.substr(from);
-    if (c->complete) Failed(handle, "ended");
+    ReadWatch(handle);
   } else if (c->complete) {
-    const std::string text = std::move(c->text);
-    const bool move = c->move;
-    if (!Apply(text, true, true)) return Failed(handle, "malformed");
-    Drop(handle);
-    if (!move) return;
-    strange_ = false;
-    moving_ = 0;
-    Drop(old_);
-    old_ = watch_;  // goes once the new watch has told something
-    Start(true);
+    ReadList(handle);
+  }
+}
+
+void Discovery::ReadWatch(Handle handle) {
+  Call* c = calls_.Get(handle);
+  c->objects.Append(std::exchange(c->text, {}));
+  std::string object;
+  for (;;) {
+    const JsonObjectReader::Found found = c->objects.Next(&object);
+    if (found == JsonObjectReader::Found::kMalformed) return Failed(handle, "malformed");
+    if (found == JsonObjectReader::Found::kNothingWhole) break;
+    Expect(handle, kLineWithin);
+    const bool list = found == JsonObjectReader::Found::kObject;
+    if (list && !(handle == old_ ? ApplyLeft(object) : ApplyText(object, false)))
+      return Failed(handle, "malformed");
+    if (handle == watch_) Drop(std::exchange(old_, 0));
+    c = calls_.Get(handle);  // what was told may have led to another call
+    if (c == nullptr) return;
+    if (list && !std::exchange(c->answered, true))
+      Log(Level::kInfo, "watching", {{"generation", static_cast<unsigned long long>(generation_)}});
   }
+  if (c->objects.pending() > kMostText) return Failed(handle, "malformed");
+  if (c->complete) Failed(handle, "ended");
+}
+
+void Discovery::ReadList(Handle handle) {
+  Call* c = calls_.Get(handle);
+  const std::string text = std::move(c->text);
+  const bool move = c->move;
+  if (!ApplyText(text, true)) return Failed(handle, "malformed");
+  Drop(handle);
+  if (!move) return;
+  strange_ = false;
+  moving_ = 0;
+  Drop(old_);
+  old_ = watch_;  // goes once the new watch has told something
+  Start(true);
 }
 
 void Discovery::OnEnded(Handle handle) { Failed(handle, "ended"); }
 
-bool Discovery::Apply(std::string_view text, bool single, bool current) {
+bool Discovery::ApplyText(std::string_view text, bool whole) {
   const json list = json::parse(text, nullptr, false);
   if (!list.is_object()) return false;
   const auto reset = list.find("reset");
-  const bool full = single || (reset != list.end() && reset->is_boolean() && reset->get<bool>());
-  // What an address that is being left still tells holds, but its versions mean nothing at the new one.
-  const std::uint64_t version = generation_;
-  if (!Apply(list, full ? ListScope::kFull : ListScope::kDelta, single ? "fetch" : "watch")) return false;
-  if (!current) generation_ = version;
+  const bool full = whole || (reset != list.end() && reset->is_boolean() && reset->get<bool>());
+  if (!Apply(list, full ? ListScope::kFull : ListScope::kDelta, whole ? "fetch" : "watch")) return false;
   FirstAnswer();
   return true;
 }
 
+bool Discovery::ApplyLeft(std::string_view text) {
+  json list = json::parse(text, nullptr, false);
+  if (!list.is_object()) return false;
+  const auto instances = list.find("instances");
+  if (instances == list.end() || !instances->is_array()) return false;
+  json kept = json::array();
+  for (const json& entry : *instances) {
+    if (TakesOutOfUse(entry)) kept.push_back(entry);
+  }
+  *instances = std::move(kept);
+  const std::uint64_t generation = generation_;  // of the new address; the old one's means nothing there
+  const bool good = Apply(list, ListScope::kDelta, "watch");
+  generation_ = generation;
+  return good;
+}
+
+// Whether an entry says that a listed replica wants nothing new, and is no older than what is known of it.
+bool Discovery::TakesOutOfUse(const json& entry) const {
+  const auto text = [&](const char* key) {
+    const auto field = entry.is_object() ? entry.find(key) : entry.end();
+    return field != entry.end() && field->is_string() ? field->get<std::string>() : std::string();
+  };
+  const std::string lifecycle = text("lifecycle");
+  const auto id = ids_.find(text("instanceId"));
+  if (id == ids_.end() || lifecycle.empty() || lifecycle == "active") return false;
+  const auto told = told_.find(id->second);
+  if (told == told_.end()) return false;
+  const auto started = entry.find("startedAtMs");
+  const double started_at_ms = started != entry.end() && started->is_number() ? started->get<double>() : 0;
+  return started_at_ms == 0 || started_at_ms * 1000 >= static_cast<double>(told->second.started_at);
+}
+
 int Discovery::IndexOf(const std::vector<std::string>& names, const json& entry, const char* key) const {
   const auto field = entry.find(key);
   if (field == entry.end() || !field->is_string()) return -1;
@@ -301,7 +349,7 @@
     e.weight = number("weight", 1.0);
     e.zone = IndexOf(core_->config->zones, entry, "zone");
     e.kind = IndexOf(core_->config->kinds, entry, "machineType");
-    e.cell = static_cast<int>(std::clamp(number("cell", 0), -1e9, 1e9));
+    e.cell = static_cast<int>(std::clamp(number("cell", kNoCell), kNoCell, 1e9));
     e.started_at = static_cast<Time>(std::clamp(number("startedAtMs", 0), 0.0, 1e15)) * 1000;
     sockaddr_storage address{};
     const std::string host_port = text("hostPort");
--- a/src/core/discovery.h
+++ b/src/core/discovery.h
@@ -15,6 +15,7 @@
 #include "base/tcp.h"
 #include "core/core.h"
 #include "core/holds_model.h"
+#include "core/json_object_reader_model.h"
 #include "core/start_times_model.h"
 
 namespace ryeglade {
@@ -75,7 +76,8 @@
     bool answered = false;  // a line of a watch has come
     bool complete = false;
     int status = 0;
-    std::string text;  // of the body, not yet used
+    std::string text;          // of the body, not yet used
+    JsonObjectReader objects;  // of a watch
     DeadlineId deadline;
   };
 
@@ -85,7 +87,14 @@
   void Tell(policy::ReplicaList list);
   void Failed(Handle call, const char* why);
   void Drop(Handle call);
-  bool Apply(std::string_view text, bool single, bool current);
+  void ReadWatch(Handle call);
+  void ReadList(Handle call);
+  // What a watch or an answer tells; false: it is no list.
+  bool ApplyText(std::string_view text, bool whole);
+  // The same of the watch at an address that is being left: only what takes replicas out of use holds. The
+  // whole list of the new address may be newer, and its watch tells everything else.
+  bool ApplyLeft(std::string_view text);
+  bool TakesOutOfUse(const nlohmann::json& entry) const;
   bool Apply(const nlohmann::json& list, policy::ListScope scope, const char* source);
   static void Overlay(const Holds& holds, const std::string& name, policy::ReplicaEntry& e);
   void Dark(const char* source, const char* why);
@@ -96,6 +105,7 @@
   Core* core_;
   Slots<Call> calls_;
   std::string address_;
+  bool begun_ = false;    // the list known at the start has been taken
   bool strange_ = false;  // no whole list from that address has come yet
   Handle watch_ = 0, moving_ = 0;
   Handle old_ = 0;  // the watch at the address that is being left
--- a/src/core/upstream.cpp
+++ b/src/core/upstream.cpp
@@ -249,7 +249,9 @@
     const Handle handle = host.idle[n];
     const Connection* c = connections_.Get(handle);
     if (c == nullptr || Now() - c->idle_since < kRest) continue;
-    if (c->tcp->Quiet()) {
+    // A process that was held up may look here before the deadline that ends the connection has been swept; a
+    // host that has forgotten the connection sends nothing that would show it.
+    if (Now() < c->deadline.at && c->tcp->Quiet()) {
       host.idle.erase(host.idle.begin() + static_cast<std::ptrdiff_t>(n));
       return handle;
     }
@@ -265,7 +267,7 @@
   if (r.stream == 0) return true;
   const Stream* s = core_->answers->Get(r.stream);
   const Time now = Now();
-  if (s == nullptr || now >= s->deadline || (r.write_by != 0 && now > r.write_by)) {
+  if (s == nullptr || now >= r.until || (r.write_by != 0 && now > r.write_by)) {
     Finish(handle, Outcome::kNotSent);
     return false;
   }
@@ -285,7 +287,7 @@
       hosts_.contains(c.host) ? hosts_.at(c.host).host_port : std::string("replica");
   bool ok = false;
   if (Stream* s = core_->answers->Get(r.stream)) {
-    ok = c.tcp->Write(core_->dialect->RequestHead(s->request, host_port, s->deadline - Now()));
+    ok = c.tcp->Write(core_->dialect->RequestHead(s->request, host_port, r.until - Now()));
     for (const std::string_view piece : s->request.body.Pieces()) ok = ok && c.tcp->Write(piece);
     if (ok) ++s->written;
     if (ok && core_->tally != nullptr) ++core_->tally->backend_calls;
--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -27,6 +27,8 @@
 constexpr std::uint32_t kMostHead = 16 * 1024;
 constexpr int kAcceptsAtOnce = 64;         // in one turn of the loop, so that the others get theirs
 constexpr Time kLookForEndEvery = 50'000;  // at a client whose bytes are not read for now
+constexpr int kLooksForRoom = 4;           // at connections that might go, for each that comes
+constexpr Time kReadNext = 10'000;         // for the loop to read what waits at a connection that has expired
 
 const char* Reason(int status) {
   switch (status) {
@@ -95,16 +97,46 @@
 // ---- Connections ----
 
 // Guards against closing a connection on which a request is on its way: one that is new, or has just had its
-// answer, is not idle yet.
+// answer, is not idle yet, nor is one whose next request has reached this machine and waits to be read.
 bool Downstream::Idle(const Client& c) {
   return c.state == State::kIdle && Now() - c.idle_since >= kIdleFrom && c.tcp->unsent() == 0;
 }
 
+// Ends an idle connection in order: the client gets the end behind every byte of its last answer, and closes.
+// A request that crosses the end stays unread, so that its client may send it again on another connection;
+// read and left without an answer it would be lost.
+void Downstream::CloseInOrder(Handle handle, CloseReason why) {
+  Client& c = *clients_.Get(handle);
+  c.state = State::kLingering;
+  c.ends_as = why;
+  c.idle_since = Now();
+  c.keep_alive = false;
+  c.tcp->StopReading();
+  c.tcp->EndWriting();
+  Linger(handle);
+  WatchUnread(handle);
+}
+
 // Guards against running out of descriptors. First goes who has had a last answer and lingers, then who has
 // been idle longest after an answer, which it may at any time between requests; then who has sent no whole
 // request for long: usual clients send theirs as soon as they are connected.
 bool Downstream::MakeRoom() {
   if (clients_.size() < most_) return true;
+  for (int look = 0; look < kLooksForRoom; ++look) {
+    const Handle handle = LeastNeeded();
+    Client* c = clients_.Get(handle);
+    if (c == nullptr) return false;
+    if (c->state == State::kLingering || c->tcp->Quiet()) {
+      Drop(handle, CloseReason::kMadeRoom);
+      return true;
+    }
+    c->idle_since = Now();  // more of its request waits to be read
+  }
+  return false;
+}
+
+// 0: every connection is needed.
+Handle Downstream::LeastNeeded() const {
   const auto place = [](const Client& c) -> std::pair<int, Time> {
     if (c.state == State::kLingering && c.tcp->unsent() == 0) return {0, c.idle_since};
     if (c.used && Idle(c)) return {1, c.idle_since};
@@ -121,8 +153,7 @@
       best = at;
     }
   }
-  if (first != 0) Drop(first, CloseReason::kMadeRoom);
-  return first != 0;
+  return first;
 }
 
 // Guards against a connection that holds a socket and says nothing, or not all: it gets an error if it has
@@ -133,7 +164,8 @@
   c.deadline = core_->deadlines->Set(at, [this, handle] {
     Client* slow = clients_.Get(handle);
     if (slow == nullptr) return;
-    if (slow->state == State::kIdle) return Drop(handle, CloseReason::kSilent);
+    if (slow->state == State::kIdle && !slow->tcp->Quiet()) return Expire(handle, Now() + kReadNext);
+    if (slow->state == State::kIdle) return CloseInOrder(handle, CloseReason::kSilent);
     if (slow->state == State::kReading) Unfinished(handle, 408, "slow-sender");
   });
 }
@@ -226,7 +258,8 @@
 
 void Downstream::CloseIdle() {
   for (const Handle handle : clients_.All()) {
-    if (Idle(*clients_.Get(handle))) Drop(handle, CloseReason::kIdle);
+    const Client& c = *clients_.Get(handle);
+    if (Idle(c) && c.tcp->Quiet()) CloseInOrder(handle, CloseReason::kIdle);
   }
 }
 
@@ -390,6 +423,15 @@
   });
 }
 
+// The same for a connection that was ended while idle: it goes as soon as its client has closed it too.
+void Downstream::WatchUnread(Handle handle) {
+  core_->deadlines->Set(Now() + kLookForEndEvery, [this, handle] {
+    const Client* c = clients_.Get(handle);
+    if (c == nullptr) return;
+    c->tcp->PeerClosed() ? Drop(handle, c->ends_as) : WatchUnread(handle);
+  });
+}
+
 // Parses what was read, up to the end of one request; and the next if the first is answered meanwhile.
 void Downstream::Feed(Handle handle) {
   Client* c = clients_.Get(handle);
@@ -534,7 +576,7 @@
   Client& c = *clients_.Get(handle);
   core_->deadlines->Cancel(c.deadline);
   c.deadline = core_->deadlines->Set(Now() + (c.tcp->unsent() > 0 ? kDrainWithin : kLinger),
-                                     [this, handle] { Drop(handle, CloseReason::kAnswered); });
+                                     [this, handle] { Drop(handle, clients_.Get(handle)->ends_as); });
 }
 
 // The answer is given. The connection goes on, or ends in an orderly way: closing a socket with bytes unread
--- a/src/http/downstream.h
+++ b/src/http/downstream.h
@@ -56,6 +56,7 @@
   Downstream(const Runtime* run, Front* front, Options options);
 
   std::string Listen();  // the address in use; throws std::runtime_error
+  void CheckListen() const { Listener::Check(options_.listen, options_.share_port); }  // throws the same
   // Answers of the request at hand, one whole or one in chunks.
   void Reply(Handle connection, int status, const std::string& headers, std::string_view body);
   void BeginChunks(Handle connection, const std::string& headers);
@@ -109,6 +110,7 @@
     std::string ahead;    // read behind the request at hand
     ArrivalLog arrivals;  // of the bytes of `ahead`
     Time idle_since = 0;
+    CloseReason ends_as = CloseReason::kAnswered;  // of a lingering connection
     DeadlineId deadline;
   };
 
@@ -117,11 +119,14 @@
   void AcceptLater(const char* why);
   void Add(int fd);
   void WatchPaused(Handle connection);
+  void WatchUnread(Handle connection);
+  void CloseInOrder(Handle connection, CloseReason why);
   void SweepIdle();
   void StopListening();
   void CloseListener();
   void TakeWaiting();
   bool MakeRoom();
+  Handle LeastNeeded() const;
   void Feed(Handle connection);
   void Expire(Handle connection, Time at);
   static bool Idle(const Client& client);
--- a/tests/fault_library.cpp
+++ b/tests/fault_library.cpp
@@ -1,11 +1,13 @@
 // Preloaded into a node under test: makes one system call fail for a while, as Linux documents that it may.
 // RYEGLADE_TEST_FAULT is "CALL:ERRNO:MILLISECONDS[:PORT]": CALL is accept4 or connect, the time counts from
-// the first call that fails, and with PORT only calls to that port fail. The file that
-// RYEGLADE_TEST_FAULT_COUNT names holds, as text, how many calls have failed.
+// the first call that fails, and with PORT only calls to that port fail. With CALL "end" nothing fails, but
+// each end of an accepted connection (shutdown or close) is held up for that long, as a process may be. The
+// file that RYEGLADE_TEST_FAULT_COUNT names holds, as text, how many calls have failed or been held up.
 #include <arpa/inet.h>
 #include <dlfcn.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -15,6 +17,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <string>
+#include <thread>
 
 namespace {
 
@@ -66,6 +69,15 @@
   return true;
 }
 
+constexpr int kMostDescriptors = 4096;
+bool accepted[kMostDescriptors];  // by descriptor; nodes under test have one thread that uses sockets
+
+void HoldEnd(int fd) {
+  if (fd < 0 || fd >= kMostDescriptors || !accepted[fd] || Planned().call != "end") return;
+  CountFailure();
+  std::this_thread::sleep_for(Planned().lasts);
+}
+
 template <class Function>
 Function Real(const char* name) {
   return reinterpret_cast<Function>(dlsym(RTLD_NEXT, name));
@@ -75,7 +87,26 @@
 
 extern "C" int accept4(int fd, sockaddr* address, socklen_t* length, int flags) {
   static const auto real = Real<int (*)(int, sockaddr*, socklen_t*, int)>("accept4");
-  return Fails("accept4", 0) ? -1 : real(fd, address, length, flags);
+  if (Fails("accept4", 0)) return -1;
+  const int connection = real(fd, address, length, flags);
+  if (connection >= 0 && connection < kMostDescriptors) accepted[connection] = true;
+  return connection;
+}
+
+extern "C" int shutdown(int fd, int how) {
+  static const auto real = Real<int (*)(int, int)>("shutdown");
+  HoldEnd(fd);
+  return real(fd, how);
+}
+
+// libuv takes a descriptor out of its poll set right before it closes it, by a call that no library can hold.
+extern "C" int epoll_ctl(int poll_fd, int operation, int fd, epoll_event* event) {
+  static const auto real = Real<int (*)(int, int, int, epoll_event*)>("epoll_ctl");
+  if (operation == EPOLL_CTL_DEL) {
+    HoldEnd(fd);
+    if (fd >= 0 && fd < kMostDescriptors) accepted[fd] = false;
+  }
+  return real(poll_fd, operation, fd, event);
 }
 
 extern "C" int connect(int fd, const sockaddr* address, socklen_t length) {
--- a/tests/faults.cpp
+++ b/tests/faults.cpp
@@ -9,44 +9,18 @@
 #include <thread>
 
 #include "peers.h"
+#include "preloaded.h"
 
 namespace stories {
 namespace {
 
-std::string program, library;
+std::string program;
 const std::string kNobody = "127.0.0.1:9";  // discovery that the node never needs
 
 nlohmann::json ListOf(const Peer& host, int generation = 1) {
   return List(generation, true, {Instance("s-a", host.at())});
 }
 
-// Nodes that start while one of these lives have the fault.
-class Preloaded {
- public:
-  explicit Preloaded(const std::string& fault) {
-    assert(close(mkstemp(counts_)) == 0);
-    setenv("LD_PRELOAD", library.c_str(), 1);
-    setenv("RYEGLADE_TEST_FAULT", fault.c_str(), 1);
-    setenv("RYEGLADE_TEST_FAULT_COUNT", counts_, 1);
-  }
-  Preloaded(const Preloaded&) = delete;
-  Preloaded& operator=(const Preloaded&) = delete;
-  ~Preloaded() {
-    for (const char* name : {"LD_PRELOAD", "RYEGLADE_TEST_FAULT", "RYEGLADE_TEST_FAULT_COUNT"})
-      unsetenv(name);
-    std::remove(counts_);
-  }
-  int failures() const {
-    std::ifstream in(counts_);
-    int n = 0;
-    in >> n;
-    return n;
-  }
-
- private:
-  char counts_[40] = "/tmp/ryeglade-fault-count-XXXXXX";
-};
-
 // Accept fails for half a second: the listener is not lost, the loop does not spin on it, the client is
 // served.
 void AcceptFails() {
@@ -311,7 +285,7 @@
 
 // The list that a node is given at its start may be old: it takes no client before discovery has told the
 // rest.
-void FirstListFirst() {
+void FirstListComesFirst(const char* mode) {
   const Peer discovery, gone, host;
   Conn watch;
   std::thread tells([&] {
@@ -319,7 +293,7 @@
     usleep(300'000);
     watch = AnswerWatch(discovery, List(2, true, {Instance("s-b", host.at())}));
   });
-  const Node node(program, ListOf(gone), discovery.at(), "ask");
+  const Node node(program, ListOf(gone), discovery.at(), mode);
   tells.join();
   const std::string log = node.Log();
   assert(log.find("scope=full") < log.find("event=listening "));
@@ -327,12 +301,16 @@
   ServeOne(host, client);
   assert(!gone.Called(0));
 }
+void FirstListFirst() { FirstListComesFirst("ask"); }
+// Where lists are pushed, what has changed counts as told from the new process's first moment on.
+void FirstPushedListFirst() { FirstListComesFirst("push"); }
 
 // Where lists are pushed the node opens a watch by itself, and opens it again when it ends.
 void PushedLists() {
   const Peer discovery, before, after;
+  std::future<Conn> first_watch = AnswerWatchAtStart(discovery, List(2, false, {}));
   const Node node(program, ListOf(before), discovery.at(), "push");
-  AnswerWatch(discovery, List(2, false, {})).Close();
+  first_watch.get().Close();
   Conn watch = AnswerWatch(
       discovery, List(3, false, {Instance("s-a", before.at(), "leaving"), Instance("s-b", after.at())}));
   node.WaitLog("generation=3");
@@ -360,6 +338,7 @@
       {"held-up", HeldUpReadsFirst},
       {"signals-at-start", SignalsAtStart},
       {"first-list-first", FirstListFirst},
+      {"first-pushed-list-first", FirstPushedListFirst},
       {"pushed-lists", PushedLists}};
   signal(SIGPIPE, SIG_IGN);
   assert(argc == 4 && all.contains(argv[3]));
--- a/tests/late_attempts.cpp
+++ b/tests/late_attempts.cpp
@@ -46,8 +46,9 @@
 void AfterDrain() {
   const Peer discovery, other;
   LateHost late;
+  std::future<Conn> first_watch = AnswerWatchAtStart(discovery, List(1, false, {}));
   const Node node(program, List(1, true, {Instance("s-late", late.at())}), discovery.at(), "push");
-  Conn watch = AnswerWatch(discovery, List(1, false, {}));
+  Conn watch = first_watch.get();
   Conn client = node.Client();
   client.Send(Ask("1"));
   usleep(100'000);
@@ -66,9 +67,10 @@
   for (const char* scope : {"all", "zone"}) {
     const Peer discovery, first;
     LateHost late;
+    std::future<Conn> first_watch = AnswerWatchAtStart(discovery, List(1, false, {}));
     const Node node(program, List(1, true, {Instance("s-first", first.at())}), discovery.at(), "push", 1024,
                     192, "", false, Guarded(scope));
-    Conn watch = AnswerWatch(discovery, List(1, false, {}));
+    Conn watch = first_watch.get();
     Conn client = node.Client();
     client.Send(Ask("1"));
     Conn up = first.Accept();
--- a/tests/node_parts_test.cpp
+++ b/tests/node_parts_test.cpp
@@ -7,15 +7,20 @@
 #include <uv.h>
 
 #include <cerrno>
+#include <string>
+#include <string_view>
+#include <vector>
 
 #include "app/termination_policy.h"
 #include "base/listener.h"
 #include "base/socket_error_model.h"
 #include "base/tcp.h"
 #include "base/whole_file.h"
+#include "core/json_object_reader_model.h"
 #include "core/start_times_model.h"
 #include "dialects/openai/openai_dialect.h"
 #include "http/arrival_log.h"
+#include "http/end_to_end_fields_model.h"
 
 namespace ryeglade {
 namespace {
@@ -173,5 +178,113 @@
   EXPECT_EQ(starts.size(), 0u);
 }
 
+// ---- Writes that the kernel takes only in part ----
+
+struct NoOwner : TcpOwner {
+  void OnConnected(Handle, int) override {}
+  void OnRead(Handle, std::string_view) override {}
+  void OnEnded(Handle) override {}
+};
+
+// What the kernel has taken may reach the peer: it is not unsent, whether or not libuv has reported it yet.
+TEST(Tcp, UnsentIsWhatTheKernelHasNotTaken) {
+  uv_loop_t loop;
+  ASSERT_EQ(uv_loop_init(&loop), 0);
+  Buffers pool(std::size_t{64} << 20);
+  NoOwner owner;
+  int pair[2] = {-1, -1};
+  ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, pair), 0);
+  Tcp* tcp = Tcp::New(&loop, &pool, &owner, 1);
+  ASSERT_TRUE(tcp->Open(pair[0]));
+  const std::string much(std::size_t{8} << 20, 'x');
+  ASSERT_TRUE(tcp->Write(much));
+  const std::size_t at_first = tcp->unsent();
+  ASSERT_GT(at_first, 0U);
+  std::vector<char> room(std::size_t{64} << 10);
+  std::size_t read_by_peer = 0;
+  for (ssize_t n = 0; (n = recv(pair[1], room.data(), room.size(), 0)) > 0;)
+    read_by_peer += static_cast<std::size_t>(n);
+  uv_run(&loop, UV_RUN_NOWAIT);  // the kernel takes more, but by far not all
+  EXPECT_LT(tcp->unsent(), at_first);
+  EXPECT_GT(tcp->unsent(), 0U);
+  EXPECT_LE(read_by_peer, much.size() - tcp->unsent());
+  tcp->Close();
+  uv_run(&loop, UV_RUN_DEFAULT);
+  close(pair[1]);
+  EXPECT_EQ(uv_loop_close(&loop), 0);
+}
+
+// ---- The text of a watch ----
+
+using Found = JsonObjectReader::Found;
+
+// What a reader finds in `text` that comes in pieces of `size` bytes: each object's text, "" for a heartbeat,
+// "malformed" at the end of what can be read.
+std::vector<std::string> FoundIn(const std::string& text, std::size_t size) {
+  JsonObjectReader reader;
+  std::vector<std::string> all;
+  std::string object;
+  for (std::size_t at = 0; at < text.size(); at += size) {
+    reader.Append(std::string_view(text).substr(at, size));
+    for (Found found; (found = reader.Next(&object)) != Found::kNothingWhole;) {
+      if (found == Found::kMalformed) return all.push_back("malformed"), all;
+      all.push_back(found == Found::kObject ? object : "");
+    }
+  }
+  return all;
+}
+
+TEST(JsonObjectReader, FindsObjectsHoweverTheyAreIndentedAndCut) {
+  const std::string one = R"({"a":[1,{"b":"}\\\"{"}],"c":"]"})";
+  const std::string indented = "{\n  \"a\": [\n    1\n  ]\n}";
+  const std::string text = "\n" + one + "\n\r\n  " + indented + "\n\n" + one + one + "\n";
+  const std::vector<std::string> wanted = {"", one, "", indented, "", one, one};
+  for (std::size_t size = 1; size <= text.size(); ++size) EXPECT_EQ(FoundIn(text, size), wanted) << size;
+}
+
+TEST(JsonObjectReader, AnObjectThatIsCutShortIsMalformedAtOnce) {
+  for (const std::string text : {"[1]\n", "null\n", "{\"a\":\"cut\n", "{\"a\":1,\n\n", "{\"a\":[\n \n"}) {
+    const std::vector<std::string> found = FoundIn(text, 3);
+    ASSERT_FALSE(found.empty()) << text;
+    EXPECT_EQ(found.back(), "malformed") << text;
+  }
+}
+
+TEST(JsonObjectReader, KeepsNothingOfWhatItHasGivenOut) {
+  JsonObjectReader reader;
+  std::string object;
+  for (int n = 0; n < 1000; ++n) {
+    reader.Append("\n{\"n\":1}\n");
+    while (reader.Next(&object) != Found::kNothingWhole) {
+    }
+    EXPECT_EQ(reader.pending(), 0U);
+  }
+}
+
+// ---- Header fields that a proxy passes on ----
+
+TEST(EndToEndFields, WhatIsOfOneConnectionOrTheProxysOwnStaysBehind) {
+  const HeaderFields request = {{"Host", "a"},
+                                {"Idempotency-Key", "k 1"},
+                                {"Connection", "close, X-Hop"},
+                                {"x-hop", "1"},
+                                {"Transfer-Encoding", "chunked"},
+                                {"TE", "trailers"},
+                                {"Content-Length", "3"},
+                                {"X-Own", "1"},
+                                {"Traceparent", "00-1"}};
+  const HeaderFields wanted = {{"Idempotency-Key", "k 1"}, {"Traceparent", "00-1"}};
+  EXPECT_EQ(EndToEndFields(request, {"x-own"}), wanted);
+}
+
+TEST(EndToEndFields, NothingThatCouldBeReadAsAnotherFieldGoesOn) {
+  const HeaderFields request = {{"Transfer-Encoding ", "chunked"},
+                                {"A", "1\r\nB: 2"},
+                                {"A:B", "1"},
+                                {"", "1"},
+                                {"C", std::string("1\0", 2)}};
+  EXPECT_TRUE(EndToEndFields(request, {}).empty());
+}
+
 }  // namespace
 }  // namespace ryeglade
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -16,6 +16,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <future>
 #include <iterator>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -318,6 +319,14 @@
   return watch;
 }
 
+// The same for the watch that a node opens while it starts, as it takes no client before it has been told.
+inline std::future<Conn> AnswerWatchAtStart(const Peer& discovery, const nlohmann::json& list) {
+  return std::async(std::launch::async, [&discovery, list] {
+    assert(discovery.Called(kPatienceMs));
+    return AnswerWatch(discovery, list);
+  });
+}
+
 // Sends a request on `client` (by default one of the id) and answers it at `host`, to its end.
 inline void ServeOne(const Peer& host, Conn& client, const std::string& id = "1",
                      const std::string& request = "") {
--- /dev/null
+++ b/tests/preloaded.h
@@ -0,0 +1,45 @@
+// A system call that fails or is held up in the nodes under test, by a preloaded library (fault_library.cpp).
+#pragma once
+#undef NDEBUG
+
+#include <unistd.h>
+
+#include <cassert>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <string>
+
+namespace stories {
+
+inline std::string library;  // its path, from the command line
+
+// Nodes that start while one of these lives have the fault, in the words of fault_library.cpp.
+class Preloaded {
+ public:
+  explicit Preloaded(const std::string& fault) {
+    assert(close(mkstemp(counts_)) == 0);
+    setenv("LD_PRELOAD", library.c_str(), 1);
+    setenv("RYEGLADE_TEST_FAULT", fault.c_str(), 1);
+    setenv("RYEGLADE_TEST_FAULT_COUNT", counts_, 1);
+  }
+  Preloaded(const Preloaded&) = delete;
+  Preloaded& operator=(const Preloaded&) = delete;
+  ~Preloaded() {
+    for (const char* name : {"LD_PRELOAD", "RYEGLADE_TEST_FAULT", "RYEGLADE_TEST_FAULT_COUNT"})
+      unsetenv(name);
+    std::remove(counts_);
+  }
+  // Calls that have failed or been held up so far.
+  int failures() const {
+    std::ifstream in(counts_);
+    int n = 0;
+    in >> n;
+    return n;
+  }
+
+ private:
+  char counts_[40] = "/tmp/ryeglade-fault-count-XXXXXX";
+};
+
+}  // namespace stories
