Refuse settings that no deployment can mean, and name the file in each error

Seen with check-config: a negative deadline, a connect limit of 0 (no connection ever comes up), two classes of one name and negative times were taken without a word; errors of the JSON file named no file. WrongSetting (settings/settings_check_model) names key and remedy, LoadFile the file. Unusual settings stay welcome (twenty classes, unknown keys). At SIGHUP such a file changes nothing, as before. ryeglade_process has ten spoilt files that passed before and one of twenty classes.

--- a/src/settings/config.cpp
+++ b/src/settings/config.cpp
@@ -8,6 +8,7 @@
 
 #include "base/tcp.h"
 #include "settings.h"
+#include "settings/settings_check_model.h"
 
 namespace ryeglade {
 namespace {
@@ -92,6 +93,8 @@
     const json& settings = file.at("settings");
     c.settings_text = FlattenSettings(settings);
     c.settings = policy::wire::ReadSettings(c.settings_text);
+    const std::string wrong = WrongSetting(c.settings);
+    if (!wrong.empty()) throw ConfigError("settings." + wrong);
     for (std::size_t i = 0; i < c.settings.classes.size(); ++i) c.in_force.push_back(i);
     c.zones = Names(settings, "localities");
     c.kinds = Names(settings, "shapes");
@@ -110,7 +113,13 @@
 Config LoadFile(const std::string& path, bool discovery_from_file) {
   std::ifstream in(path, std::ios::binary);
   if (!in) throw ConfigError("cannot read " + path);
-  Config c = ReadConfig({std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()});
+  const std::string file{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+  Config c;
+  try {
+    c = ReadConfig(file);
+  } catch (const ConfigError& e) {
+    throw ConfigError(path + ": " + e.what());
+  }
   c.source = path;
   const auto told = [](const char* variable, std::string& value) {
     const char* text = std::getenv(variable);
--- a/tests/ryeglade_process.sh
+++ b/tests/ryeglade_process.sh
@@ -52,6 +52,25 @@
 check "not json" 1 "parse error" serve --config "$dir/json"
 check "no settings" 1 "settings are missing" check-config --config "$dir/settings"
 check "bad number" 1 "promise is not a number" check-config --config "$dir/number"
+# Settings that no deployment can mean, each with its key and the file's name.
+spoilt() { # name, key named in the error, the classes' text, more settings
+  echo "{\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:9\",\"settings\":{\"classes\":[$3]$4}}" >"$dir/spoilt"
+  check "$1" 1 "spoilt: settings.$2" check-config --config "$dir/spoilt"
+}
+spoilt "negative deadline" classes.0.deadline '{"name":"a","deadline":-5}' ''
+spoilt "no patience" classes.0.deadline '{"name":"a","deadline":0}' ''
+spoilt "negative aim" classes.0.promise '{"name":"a","promise":-1}' ''
+spoilt "negative window" classes.1.window '{"name":"a"},{"name":"b","window":-1}' ''
+spoilt "negative worth" classes.0.worth '{"name":"a","worth":-1}' ''
+spoilt "no name" classes.0.name '{"name":""}' ''
+spoilt "two of one name" classes.1.name '{"name":"a"},{"name":"a"}' ''
+spoilt "no time to connect" limits.connect-timeout '{"name":"a"}' ',"limits":{"connect-timeout":0}'
+spoilt "negative grace" obligations.drain-grace '{"name":"a"}' ',"obligations":{"drain-grace":-1}'
+spoilt "negative start" obligations.cold '{"name":"a"}' ',"obligations":{"cold":-1}'
+# And unusual ones that it can.
+many=$(for n in $(seq 20); do printf '{"name":"c%s","deadline":%s,"effect":"guarded","dedup-scope":"cell","window":%s},' "$n" "$((n * 200000))" "$n"; done)
+echo "{\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:9\",\"settings\":{\"classes\":[${many%,}],\"unknown\":{\"x\":[1]}}}" >"$dir/many"
+check "twenty classes" 0 "ok: 20 classes" check-config --config "$dir/many"
 check "bad address" 1 "listen is not an ip:port" check-config --config "$dir/listen"
 check "cannot bind" 1 "cannot listen" serve --config "$dir/bind"
 exit $fails
