--- a/tests/event_delay.cpp
+++ b/tests/event_delay.cpp
@@ -11,7 +11,7 @@
 
 using Clock = std::chrono::steady_clock;
 
-constexpr int kStreams = 200;
+constexpr std::size_t kStreams = 200;
 constexpr int kEvents = 10;
 constexpr int kDrainsAt = 5;        // the node is told to end before this event
 constexpr int kLateMs = 300;        // an event that takes longer is late
@@ -26,7 +26,7 @@
 std::string End(int event) { return " event=" + std::to_string(event) + "\n\n"; }
 
 // Four forms: whole, large, cut within its text, cut within its chunk's end.
-void SendFirstPart(Running& r, int form, int event, std::string* rest) {
+void SendFirstPart(Running& r, std::size_t form, int event, std::string* rest) {
   const std::string text = "data: " + std::string(form == 1 ? kLarge : 20, 'e') + End(event);
   char size[16];
   std::snprintf(size, sizeof size, "%zx\r\n", text.size());
@@ -37,12 +37,13 @@
 }
 
 void OneByOne(const std::string& program) {
-  const Peer host(kStreams);
+  const Peer host(static_cast<int>(kStreams));
   std::vector<nlohmann::json> replicas;  // enough of them that none is held back by its cap
-  for (int n = 0; n < kStreams / 8; ++n) replicas.push_back(Instance("s-" + std::to_string(n), host.at()));
+  for (std::size_t n = 0; n < kStreams / 8; ++n)
+    replicas.push_back(Instance("s-" + std::to_string(n), host.at()));
   Node node(program, List(1, true, replicas), "127.0.0.1:9");
   std::vector<Running> streams(kStreams);
-  for (int n = 0; n < kStreams; ++n) {
+  for (std::size_t n = 0; n < kStreams; ++n) {
     streams[n].client = node.Client();
     streams[n].client.Send(Ask(std::to_string(n + 1)));
     streams[n].host = host.Accept();
@@ -56,8 +57,8 @@
       node.WaitLog("draining");
     }
     std::vector<std::string> rest(kStreams);
-    for (int n = 0; n < kStreams; ++n) SendFirstPart(streams[n], n % 4, event, &rest[n]);
-    for (int n = 0; n < kStreams; ++n) {
+    for (std::size_t n = 0; n < kStreams; ++n) SendFirstPart(streams[n], n % 4, event, &rest[n]);
+    for (std::size_t n = 0; n < kStreams; ++n) {
       if (!rest[n].empty()) streams[n].host.Send(rest[n]);
       streams[n].sent = Clock::now();
     }
