--- a/tests/faults.cpp
+++ b/tests/faults.cpp
@@ -273,7 +273,7 @@
     execl(program.c_str(), program.c_str(), "serve", "--config", path, nullptr);
     _exit(9);
   }
-  for (int n = 0; n < 50 && !Holds(pid, SIGHUP); ++n) usleep(1'000);
+  for (int n = 0; n < kPatienceMs && !Holds(pid, SIGHUP); ++n) usleep(1'000);
   kill(pid, SIGHUP);
   usleep(1'000);
   kill(pid, SIGTERM);
