--- a/review/common/stand_ins.h
+++ b/review/common/stand_ins.h
@@ -508,7 +508,8 @@
       if (!kept) socket_ = Socket::Connect(port_);
       Answer answer;
       answer.sent = Now();
-      if (socket_.open() && socket_.Send(RequestText(id, class_name, budget)) && Read(answer, budget)) {
+      if (socket_.open() && socket_.Send(RequestText(id, class_name, budget)) &&
+          ReadAnswer(socket_, &answer, budget)) {
         RECORD("client  id=%s class=%s answered %d%s in %.3f s", id.c_str(), class_name.c_str(),
                answer.status, answer.whole ? "" : ", cut off", answer.ended - answer.sent);
         if (!answer.whole) socket_.Close();
@@ -523,34 +524,35 @@
     }
   }
 
- private:
-  // Returns false if not even the head of an answer came.
-  bool Read(Answer& answer, double budget) {
+  // Reads an answer; returns false if not even its head came within `budget` seconds and 0.5 s of the
+  // sending.
+  static bool ReadAnswer(Socket& socket, Answer* answer, double budget) {
     std::string head;
-    if (!socket_.ReadUntil("\r\n\r\n", &head, answer.sent + budget + 0.5)) return false;
+    if (!socket.ReadUntil("\r\n\r\n", &head, answer->sent + budget + 0.5)) return false;
     Message message;
     ParseHead(head, &message);
-    answer.status = message.status();
+    answer->status = message.status();
     if (message.Field("transfer-encoding") == "chunked") {
       for (std::string line, bytes;;) {
         const double until = Now() + 10;
-        if (!socket_.ReadUntil("\r\n", &line, until)) break;
+        if (!socket.ReadUntil("\r\n", &line, until)) break;
         const std::size_t size = std::stoul(line, nullptr, 16);
-        if (!socket_.ReadBytes(size + 2, &bytes, until)) break;
-        answer.text += bytes.substr(0, size);
+        if (!socket.ReadBytes(size + 2, &bytes, until)) break;
+        answer->text += bytes.substr(0, size);
         if (size > 0) continue;
-        answer.whole = true;
+        answer->whole = true;
         break;
       }
     } else {
       const std::string length = message.Field("content-length");
-      answer.whole = socket_.ReadBytes(length.empty() ? 0 : std::stoul(length), &answer.text, Now() + 5);
+      answer->whole = socket.ReadBytes(length.empty() ? 0 : std::stoul(length), &answer->text, Now() + 5);
     }
-    answer.ended = Now();
-    if (message.Field("connection") == "close") socket_.Close();
+    answer->ended = Now();
+    if (message.Field("connection") == "close") socket.Close();
     return true;
   }
 
+ private:
   int port_;
   Socket socket_;
 };
@@ -558,7 +560,7 @@
 // ---- The platform ----
 
 // The settings of a small deployment like bid-assist-kr. `docs_effect` is the effect of class docs.
-inline std::string SettingsText(const std::string& docs_effect) {
+inline std::string SettingsText(const std::string& docs_effect, bool resume = false) {
   return R"({"az":0,"balancers":1,"classes":[
     {"deadline":5000000,"dedup-scope":"all","effect":")" +
          docs_effect +
@@ -566,7 +568,8 @@
     {"deadline":7500000,"dedup-scope":"all","effect":"free","late-worth":0.0,"name":"agent","promise":1500000,"stream":true,"window":5000000,"worth":9.0}],
    "client-habits":{"marks-retry":false},"family":"llm",
    "family-info":{"aim-us-per-1000-prompt-tokens":[40000.0,30000.0],"notes":"tokens of the prompt that were found kept",
-    "report-x0":"share of memory held by running requests","resume":false,"token-aim":[100000.0,80000.0]},
+    "report-x0":"share of memory held by running requests","resume":)" +
+         (resume ? "true" : "false") + R"(,"token-aim":[100000.0,80000.0]},
    "fees":{"connection":0.0,"cross-zone":0.08,"late-fail":0.05,"probe":0.002,"waste":0.25},
    "goal":{"whole":0.65,"worst-class":0.2,"worst-tenant":0.0,"worst-window":0.15},
    "limits":{"cancel":true,"connect-timeout":250000,"cpu-us-per-request":10.0,"cpu-us-per-s":15000,"idle-close":5000000,
