--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,78 +1,88 @@
-// Some answers of model replicas are followed by a second answer on the same connection, some milliseconds
-// late. The rule is broken if a client is served with the answer that was made for another client's request.
+// A configuration file that lacks a key is sent in with SIGHUP. Class docs is single_shot in the file in
+// force and free in the file that lacks the key, of which nothing may be taken. One replica of eight is
+// failing. The rule is broken if a request of class docs that may have run is attempted again.
 #include "stand_ins.h"
 
 namespace {
 
 using namespace review;
 
-constexpr int kReplicas = 3;
-constexpr int kClients = 12;
-constexpr double kBudget = 5.0;   // the deadline of class docs, seconds
-constexpr double kLength = 30.0;  // how long clients ask
-constexpr int kOneIn = 20;        // so many answers, one is followed by a second one
-constexpr double kLate = 0.012;   // from the end of the first answer to the second one
+constexpr int kReplicas = 8;  // one of them is failing
+constexpr int kClients = 8;
+constexpr int kRequestsOfEach = 20;
+constexpr double kBudget = 5.0;        // the deadline of class docs, seconds
+constexpr double kSettingsBind = 1.2;  // after SIGHUP
 
 int Run(const std::string& run) {
   const Folder folder;
   Attempts attempts;
   Discovery discovery;
   std::vector<std::unique_ptr<Replica>> replicas;
-  std::atomic<int> answers{0};
-  std::atomic<int> doubled{0};
-  const auto behave = [&](const Message&) {
-    Behavior behavior;
-    behavior.first_after = 0.03;
-    behavior.events = 2;
-    behavior.event_gap = 0.005;
-    if (Trouble() && ++answers % kOneIn == 0) {
-      behavior.second_after = kLate;
-      ++doubled;
-    }
-    return behavior;
-  };
   for (int n = 0; n < kReplicas; ++n) {
-    replicas.push_back(std::make_unique<Replica>("s-" + std::to_string(n), &attempts, behave));
+    const bool failing = n == 0;
+    replicas.push_back(
+        std::make_unique<Replica>("s-" + std::to_string(n), &attempts, [failing](const Message&) {
+          Behavior behavior;
+          if (failing) behavior.status = 500;  // "it may have run": it has
+          return behavior;
+        }));
     discovery.Add(*replicas.back());
   }
+
   NodeOptions options;
   options.port = FreePort();
   options.management = FreePort();
   options.discovery = discovery.address();
   options.known = discovery.List();
-  options.settings = SettingsText("free");
+  options.settings = SettingsText("single_shot");
   const NodeProcess node(options, run, folder.path(), folder.path(), "n0");
   if (!node.WaitReady(10)) throw std::runtime_error("the node is not ready within 10 s");
-  Sleep(1);
+  Sleep(1.5);
+
+  if (Trouble()) {
+    NodeOptions broken = options;
+    broken.settings = SettingsText("free");
+    broken.without = "limits";
+    node.WriteConfig(broken);
+    RECORD("platform  replaces the file by one that lacks the key \"%s\", and sends SIGHUP",
+           broken.without.c_str());
+    node.Signal(SIGHUP);
+  }
+  Sleep(kSettingsBind + 0.3);
+  RECORD("platform  figures: reconfig_ok %.0f, reconfig_failed %.0f", node.Figure("node_reconfig_ok"),
+         node.Figure("node_reconfig_failed"));
 
-  std::atomic<int> served{0};
-  std::atomic<int> foreign{0};
   std::vector<std::thread> clients;
   for (int n = 0; n < kClients; ++n) {
-    clients.emplace_back([&, n] {
+    clients.emplace_back([&options] {
       Client client(options.port);
-      unsigned seed = 1000 + static_cast<unsigned>(n);
-      for (const double until = Now() + kLength; Now() < until;) {
-        const std::string id = NewId();
-        const Answer answer = client.Ask(id, "docs", kBudget);
-        if (answer.status == 200 && answer.whole) {
-          ++served;
-          // Each event of a replica's answer names the request that it was made for.
-          if (answer.text.find("for-" + id + "-") == std::string::npos) {
-            ++foreign;
-            RECORD("check  id=%s was served with this: %.100s", id.c_str(), answer.text.c_str());
-          }
-        }
-        Sleep(static_cast<double>(rand_r(&seed) % 100) / 1000);
+      for (int k = 0; k < kRequestsOfEach; ++k) {
+        client.Ask(NewId(), "docs", kBudget);
+        Sleep(0.05);
       }
     });
   }
   for (std::thread& client : clients) client.join();
-  RECORD("check  %d requests were served; %d answers were followed by a second one", served.load(),
-         doubled.load());
-  RECORD("check  %d requests were served with the answer to another request", foreign.load());
-  if (served == 0 || (Trouble() && doubled == 0)) throw std::runtime_error("there was no traffic to judge");
-  return foreign > 0 ? kBroken : kHeld;
+  Sleep(0.5);
+
+  // A further attempt is permitted only where each earlier one proves that it never ran; here none does.
+  std::map<std::string, std::vector<Attempt>> by_request;
+  for (const Attempt& attempt : attempts.All()) by_request[attempt.id].push_back(attempt);
+  int failed_first = 0;
+  int repeated = 0;
+  for (const auto& [id, all] : by_request) {
+    if (all.front().status != 500) continue;  // only an attempt that ran and was answered 500 is judged
+    ++failed_first;
+    if (all.size() < 2) continue;
+    ++repeated;
+    RECORD("check  id=%s of class docs (single_shot) ran at %s, and again at %s", id.c_str(),
+           all[0].replica.c_str(), all[1].replica.c_str());
+  }
+  RECORD(
+      "check  %zu requests of class docs reached a replica; the first attempt of %d failed; %d were repeated",
+      by_request.size(), failed_first, repeated);
+  if (failed_first == 0) throw std::runtime_error("no request met the failing replica");
+  return repeated > 0 ? kBroken : kHeld;
 }
 
 }  // namespace
