Bound what is read behind a request: clients that pipeline took all memory

Cause: Downstream::OnRead stopped reading over 16 KiB, but OnResponseComplete read on whatever still waited, so each answered request let in up to 64 KiB more; nothing counted these bytes, and ParseRequest copied all of them.

Told apart by a trial build that logged its sums every 20 ms during the case (not committed): in its last second the buffer pool held 0.2 to 1.4 MB, unsent output 0, what the allocator had free 14 to 29 MB, 208 clients, 252 upstream connections; the capacity of `unparsed` grew from 98 to 223 MB. So bodies, output, both directions' connections and fragmentation are ruled out as the cause.

Change: ClientInput holds these bytes, at most 16 KiB and 2 KiB more, 2 KiB while the budget is half used; a socket reads no more at once than its owner has room for, and not at all while it is full. What is held counts against the budget (MemoryReservation). As the end of a connection can't be seen behind unread bytes, requests behind which over 16 KiB wait unread are refused at once (503), except for the connection's first; otherwise attempts would begin for clients that have gone.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -249,7 +249,7 @@
     return connections() + upstream + ReservedSockets();
   }
 
-  std::size_t UsedMemory() const override { return buffers_.in_use() * BufferPool::kSize; }
+  std::size_t UsedMemory() const override { return buffers_.used_bytes(); }
 
   void SetLimits(std::size_t sockets, std::size_t memory) override {
     const std::size_t traffic = TrafficSockets(sockets);
--- a/src/base/buffer_pool.cpp
+++ b/src/base/buffer_pool.cpp
@@ -7,7 +7,7 @@
 namespace ryeglade {
 
 char* BufferPool::Acquire() {
-  if (in_use_ >= max_buffers_) return nullptr;
+  if (!HasRoomFor(kSize)) return nullptr;
   ++in_use_;
   if (free_.empty()) return std::make_unique<char[]>(kSize).release();
   char* buffer = free_.back().release();
@@ -22,6 +22,36 @@
   if (free_.size() < kMaxFree) free_.push_back(std::move(owned));
 }
 
+bool BufferPool::Reserve(std::size_t bytes) {
+  if (!HasRoomFor(bytes)) return false;
+  reserved_ += bytes;
+  return true;
+}
+
+MemoryReservation::MemoryReservation(MemoryReservation&& other) noexcept
+    : pool_(other.pool_), bytes_(std::exchange(other.bytes_, 0)) {}
+
+MemoryReservation& MemoryReservation::operator=(MemoryReservation&& other) noexcept {
+  if (this == &other) return *this;
+  pool_->Unreserve(bytes_);
+  pool_ = other.pool_;
+  bytes_ = std::exchange(other.bytes_, 0);
+  return *this;
+}
+
+bool MemoryReservation::Resize(std::size_t bytes) {
+  if (bytes > bytes_ && !pool_->Reserve(bytes - bytes_)) return false;
+  if (bytes < bytes_) pool_->Unreserve(bytes_ - bytes);
+  bytes_ = bytes;
+  return true;
+}
+
+void MemoryReservation::ResizeUnchecked(std::size_t bytes) {
+  pool_->Unreserve(bytes_);
+  pool_->ReserveUnchecked(bytes);
+  bytes_ = bytes;
+}
+
 BufferChain::BufferChain(BufferChain&& other) noexcept
     : pool_(other.pool_), parts_(std::move(other.parts_)), size_(std::exchange(other.size_, 0)) {
   other.parts_.clear();
--- a/src/base/buffer_pool.h
+++ b/src/base/buffer_pool.h
@@ -1,5 +1,6 @@
-// A pool of reusable buffers of one size, and chains of them. The pool is bounded: when it is exhausted, an
-// append fails and the caller rejects the work, so that the node stays within its memory limit.
+// The memory budget of a process: a pool of reusable buffers of one size, chains of them, and reservations
+// for bytes that are held elsewhere. The budget is bounded: when it is exhausted, an append or a reservation
+// fails and the caller rejects the work, so that the node stays within its memory limit.
 #pragma once
 
 #include <cstddef>
@@ -10,28 +11,61 @@
 
 namespace ryeglade {
 
-// Provides buffers of kSize bytes and limits how many are in use. Not thread-safe.
+// Provides buffers of kSize bytes, and limits the bytes of those in use and of all reservations together. Not
+// thread-safe.
 class BufferPool {
  public:
   static constexpr std::size_t kSize = std::size_t{16} * 1024;  // bytes
   static constexpr std::size_t kMaxFree = 128;                  // number of released buffers kept for reuse
-  // `max_bytes` is rounded down to whole buffers.
-  explicit BufferPool(std::size_t max_bytes) : max_buffers_(max_bytes / kSize) {}
+  explicit BufferPool(std::size_t max_bytes) : max_bytes_(max_bytes) {}
+
+  // If the limit is lowered, buffers in use and reservations remain valid.
+  void SetMaxBytes(std::size_t max_bytes) { max_bytes_ = max_bytes; }
+  char* Acquire();             // returns nullptr if the budget is exhausted
+  void Release(char* buffer);  // takes back a buffer that Acquire returned
+  // Counts bytes that are held outside of the pool's buffers. Returns false, and counts nothing, if they
+  // exceed the budget.
+  bool Reserve(std::size_t bytes);
+  // The same for bytes that are held already and whose number the caller bounds.
+  void ReserveUnchecked(std::size_t bytes) { reserved_ += bytes; }
+  void Unreserve(std::size_t bytes) { reserved_ -= bytes; }
 
-  // If the limit is lowered, buffers in use remain valid.
-  void SetMaxBytes(std::size_t max_bytes) { max_buffers_ = max_bytes / kSize; }
-  char* Acquire();                                // returns nullptr if the pool is exhausted
-  void Release(char* buffer);                     // takes back a buffer that Acquire returned
   std::size_t in_use() const { return in_use_; }  // number of buffers
-  // Returns whether at least nine tenths of the buffers are in use.
-  bool NearlyExhausted() const { return in_use_ * 10 >= max_buffers_ * 9; }
+  std::size_t used_bytes() const { return in_use_ * kSize + reserved_; }
+  // Returns whether at least half of the budget is used.
+  bool HalfUsed() const { return used_bytes() >= max_bytes_ / 2; }
+  // Returns whether at least nine tenths of the budget are used.
+  bool NearlyExhausted() const { return used_bytes() >= max_bytes_ / 10 * 9; }
 
  private:
-  std::size_t max_buffers_;
-  std::size_t in_use_ = 0;
+  bool HasRoomFor(std::size_t bytes) const { return used_bytes() + bytes <= max_bytes_; }
+
+  std::size_t max_bytes_;
+  std::size_t in_use_ = 0;    // number of buffers
+  std::size_t reserved_ = 0;  // bytes
   std::vector<std::unique_ptr<char[]>> free_;
 };
 
+// A number of bytes that count against the budget until the object is destroyed. Can be moved but not copied.
+class MemoryReservation {
+ public:
+  explicit MemoryReservation(BufferPool* pool) : pool_(pool) {}
+  MemoryReservation(MemoryReservation&& other) noexcept;
+  MemoryReservation& operator=(MemoryReservation&& other) noexcept;
+  MemoryReservation(const MemoryReservation&) = delete;
+  MemoryReservation& operator=(const MemoryReservation&) = delete;
+  ~MemoryReservation() { pool_->Unreserve(bytes_); }
+
+  // Changes the number of bytes. Returns false, and changes nothing, if the budget is exhausted.
+  bool Resize(std::size_t bytes);
+  void ResizeUnchecked(std::size_t bytes);  // the caller bounds the number of bytes
+  std::size_t bytes() const { return bytes_; }
+
+ private:
+  BufferPool* pool_;
+  std::size_t bytes_ = 0;
+};
+
 // A byte string stored in buffers of a pool. It releases them when it is cleared or destroyed. Can be moved
 // but not copied.
 class BufferChain {
--- a/src/base/tcp.cpp
+++ b/src/base/tcp.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <charconv>
@@ -13,9 +14,8 @@
 namespace {
 
 // libuv asks for a read buffer and hands it back filled within one call, so all sockets share one.
-constexpr std::size_t kReadBufferSize = std::size_t{64} * 1024;
-std::array<char, kReadBufferSize>& ReadBuffer() {
-  static std::array<char, kReadBufferSize> buffer;
+std::array<char, TcpOwner::kMaxReadSize>& ReadBuffer() {
+  static std::array<char, TcpOwner::kMaxReadSize> buffer;
   return buffer;
 }
 
@@ -80,8 +80,10 @@
 void Tcp::StartReading() {
   uv_read_start(
       stream(),
-      [](uv_handle_t*, std::size_t, uv_buf_t* buf) {
-        *buf = uv_buf_init(ReadBuffer().data(), static_cast<unsigned>(ReadBuffer().size()));
+      [](uv_handle_t* h, std::size_t, uv_buf_t* buf) {
+        const Tcp* tcp = static_cast<Tcp*>(h->data);
+        const std::size_t size = tcp->closing_ ? ReadBuffer().size() : tcp->owner_->ReadSize(tcp->handle_);
+        *buf = uv_buf_init(ReadBuffer().data(), static_cast<unsigned>(std::min(size, ReadBuffer().size())));
       },
       [](uv_stream_t* s, ssize_t n, const uv_buf_t* buf) {
         Tcp* tcp = static_cast<Tcp*>(s->data);
@@ -165,6 +167,16 @@
   return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool Tcp::HasUnread(std::size_t bytes) const {
+  uv_os_fd_t fd = -1;
+  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) != 0) return false;
+  // Not the buffer for reading: the caller may be in the middle of processing what another socket read.
+  static std::array<char, TcpOwner::kMaxReadSize> peeked;
+  const std::size_t size = std::min(bytes, peeked.size());
+  const ssize_t unread = recv(fd, peeked.data(), size, MSG_PEEK | MSG_DONTWAIT);
+  return unread >= 0 && static_cast<std::size_t>(unread) >= size;
+}
+
 bool Tcp::PeerClosed() const {
   uv_os_fd_t fd = -1;
   if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) != 0) return true;
--- a/src/base/tcp.h
+++ b/src/base/tcp.h
@@ -22,6 +22,10 @@
   virtual void OnRead(Handle handle, std::string_view bytes) = 0;
   virtual void OnDisconnected(Handle handle) = 0;  // the peer closed the connection, or it broke
   virtual void OnDrained(Handle) {}                // the kernel has taken everything that was queued
+  // Returns how many bytes the next read may have at most; not 0. An owner that keeps what it reads bounds it
+  // here.
+  virtual std::size_t ReadSize(Handle) const { return kMaxReadSize; }
+  static constexpr std::size_t kMaxReadSize = std::size_t{64} * 1024;  // bytes
 };
 
 // Returns the size of an address in bytes, according to its family: IPv6 if AF_INET6, otherwise IPv4.
@@ -52,13 +56,14 @@
   // still contain bytes that have reached the peer: libuv reports a write as done only in a later loop
   // iteration.
   std::size_t unsent() const { return uv_stream_get_write_queue_size(stream()) + queued_.size(); }
-  sockaddr_storage PeerAddress() const;   // all zero if unknown
-  sockaddr_storage LocalAddress() const;  // all zero if unknown
-  void ResetOnClose();                    // makes Close send a reset and drop unsent bytes
-  bool NothingToRead() const;             // neither bytes nor the end of the stream are waiting to be read
-  bool PeerClosed() const;                // the peer has closed or reset, even if bytes are still to be read
-  void ShutdownWrite();                   // sends a FIN after everything that was written
-  void Close();                           // the object is deleted once the loop has closed the socket
+  sockaddr_storage PeerAddress() const;     // all zero if unknown
+  sockaddr_storage LocalAddress() const;    // all zero if unknown
+  void ResetOnClose();                      // makes Close send a reset and drop unsent bytes
+  bool NothingToRead() const;               // neither bytes nor the end of the stream are waiting to be read
+  bool HasUnread(std::size_t bytes) const;  // at least so many bytes, up to kMaxReadSize, wait to be read
+  bool PeerClosed() const;  // the peer has closed or reset, even if bytes are still to be read
+  void ShutdownWrite();     // sends a FIN after everything that was written
+  void Close();             // the object is deleted once the loop has closed the socket
 
  private:
   Tcp(BufferPool* pool, TcpOwner* owner, Handle handle)
--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -12,8 +12,8 @@
 
 // Sizes in bytes.
 constexpr std::uint32_t kMaxHead = 16 * 1024;  // of a request
-// Maximum input that is buffered while a response is sent; after that reading stops.
-constexpr std::size_t kMaxUnparsed = std::size_t{16} * 1024;
+// A pipelined request behind which more than this waits unread is refused.
+constexpr std::size_t kMaxUnread = std::size_t{16} * 1024;
 // Maximum unsent output; after that the front is told to stop sending.
 constexpr std::size_t kMaxUnsent = std::size_t{128} * 1024;
 // Times in microseconds.
@@ -73,7 +73,8 @@
 // A request may be on its way on a connection that is new or has just had its response, so such a connection
 // is not idle yet. The callers also check that no input is waiting to be read before they close one.
 bool Downstream::IsIdle(const Client& client) {
-  return client.state == State::kIdle && Now() - client.idle_since >= kIdleAfter && client.tcp->unsent() == 0;
+  return client.state == State::kIdle && client.input.empty() && Now() - client.idle_since >= kIdleAfter &&
+         client.tcp->unsent() == 0;
 }
 
 // Keeps the process from running out of descriptors. Closes, in this order of preference: a lingering
@@ -126,6 +127,7 @@
   Log(Level::kDebug, "client-closed",
       {{"why", Name(reason)}, {"used", client->used}, {"unsent", client->tcp->unsent()}});
   runtime_->deadlines->Cancel(client->deadline);
+  runtime_->deadlines->Cancel(client->end_check);
   client->tcp->Close();
   clients_.Remove(handle);
 }
@@ -164,14 +166,26 @@
       Now() + timeout, [this, handle] { CloseConnection(handle, clients_.Get(handle)->close_reason); });
 }
 
+void Downstream::PauseReading(Handle handle) {
+  Client& client = *clients_.Get(handle);
+  if (client.paused) return;
+  client.paused = true;
+  client.tcp->StopReading();
+  WatchForEndWhilePaused(handle);
+}
+
+void Downstream::ResumeReading(Client& client) {
+  client.paused = false;
+  runtime_->deadlines->Cancel(client.end_check);
+  client.tcp->StartReading();
+}
+
 // While reading is paused, the end of the connection is not noticed. Checks for it at intervals, so that no
 // work is done for a client that has disconnected.
 void Downstream::WatchForEndWhilePaused(Handle handle) {
-  runtime_->deadlines->Set(Now() + kEndCheckInterval, [this, handle] {
-    const Client* client = clients_.Get(handle);
-    if (client == nullptr || client->state != State::kResponding || client->unparsed.size() <= kMaxUnparsed)
-      return;
-    if (client->tcp->PeerClosed()) return CloseAndNotifyFront(handle, CloseReason::kClientEnded);
+  clients_.Get(handle)->end_check = runtime_->deadlines->Set(Now() + kEndCheckInterval, [this, handle] {
+    if (clients_.Get(handle)->tcp->PeerClosed())
+      return CloseAndNotifyFront(handle, CloseReason::kClientEnded);
     WatchForEndWhilePaused(handle);
   });
 }
@@ -279,15 +293,17 @@
   ReplyError(handle, status);
 }
 
+std::size_t Downstream::ReadSize(Handle handle) const {
+  const Client* client = clients_.Get(handle);
+  return client == nullptr ? kMaxReadSize : client->input.ReadSize();
+}
+
 void Downstream::OnRead(Handle handle, std::string_view bytes) {
   Client* client = clients_.Get(handle);
   if (client == nullptr || client->state == State::kLingering) return;
-  client->unparsed.append(bytes);
-  client->arrivals.Add(bytes.size(), Now());
+  client->input.Append(bytes, Now());
   if (client->state != State::kResponding) return ParseInput(handle);
-  if (client->unparsed.size() <= kMaxUnparsed) return;
-  client->tcp->StopReading();
-  WatchForEndWhilePaused(handle);
+  if (client->input.full()) PauseReading(handle);
 }
 
 // Parses the bytes that were read up to the end of a request, and goes on with the next request if the first
@@ -296,31 +312,31 @@
   Client* client = clients_.Get(handle);
   if (client == nullptr || client->parsing) return;
   client->parsing = true;
-  while (client != nullptr && !client->unparsed.empty() &&
+  while (client != nullptr && !client->input.empty() &&
          (client->state == State::kIdle || client->state == State::kReading)) {
     ParseRequest(handle, *client);
     client = clients_.Get(handle);
   }
-  if (client != nullptr) client->parsing = false;
+  if (client == nullptr) return;
+  client->parsing = false;
+  if (client->state == State::kResponding && client->input.full()) PauseReading(handle);
 }
 
 void Downstream::ParseRequest(Handle handle, Client& client) {
   if (client.state == State::kIdle) {
     client.state = State::kReading;
-    client.parser.request().first_byte = client.arrivals.First(Now());
+    client.parser.request().first_byte = client.input.FirstByteAt(Now());
     // The deadline of the first request was set when the connection was accepted.
     if (client.used) SetRequestDeadline(handle, Now() + options_.request_timeout);
   }
-  const std::string bytes = std::exchange(client.unparsed, {});
   std::size_t consumed = 0;
-  const RequestParser::Result result = client.parser.Parse(bytes, &consumed);
+  const RequestParser::Result result = client.parser.Parse(client.input.bytes(), &consumed);
   if (client.parser.TakeExpectsContinue()) client.tcp->Write("HTTP/1.1 100 Continue\r\n\r\n");
   if (result == RequestParser::Result::kComplete) {
-    client.arrivals.Consume(consumed);
-    client.unparsed = bytes.substr(std::min(consumed, bytes.size()));
+    client.input.Consume(consumed);
     return OnRequestComplete(handle, client);
   }
-  client.arrivals.Consume(bytes.size());
+  client.input.Clear();
   if (result == RequestParser::Result::kIncomplete) return;
   const int status = client.parser.error_status();
   Log(Level::kWarn, "local-reply", {{"status", status}, {"why", client.parser.error_reason()}});
@@ -330,27 +346,35 @@
   ReplyError(handle, status);
 }
 
+// A client that pipelines more requests than are read ahead gets them refused, except for the first and the
+// last ones. While bytes wait unread, it can't be seen whether the client has closed the connection, and no
+// attempt may begin for a client that has.
 void Downstream::OnRequestComplete(Handle handle, Client& client) {
   runtime_->deadlines->Cancel(client.deadline);
   client.state = State::kResponding;
-  client.used = true;
+  const bool pipelined = std::exchange(client.used, true);
   client.keep_alive = client.parser.keep_alive();
   if (client.excess && clients_.size() > max_served_ && !EvictConnection()) {
-    Log(Level::kWarn, "local-reply", {{"status", 503}, {"why", "sockets"}, {"clients", clients_.size()}});
     client.keep_alive = false;
-    return ReplyError(handle, 503);
+    return RejectComplete(handle, "sockets");
   }
+  if (pipelined && client.tcp->HasUnread(kMaxUnread)) return RejectComplete(handle, "pipelined");
   HttpRequest request = std::move(client.parser.request());
   front_->OnRequest(handle, std::move(request));
 }
 
+void Downstream::RejectComplete(Handle handle, const char* reason) {
+  Log(Level::kWarn, "local-reply", {{"status", 503}, {"why", reason}, {"clients", clients_.size()}});
+  ReplyError(handle, 503);
+}
+
 // ---- Responses ----
 
 void Downstream::Reply(Handle handle, int status, const std::string& headers, std::string_view body) {
   Client* client = clients_.Get(handle);
   if (client == nullptr || client->state != State::kResponding) return;
   // Requests that were already read after this one are answered before the connection closes.
-  if (draining_ && client->unparsed.empty()) client->keep_alive = false;
+  if (draining_ && client->input.empty()) client->keep_alive = false;
   const std::string head = "HTTP/1.1 " + std::to_string(status) + " " + ReasonPhrase(status) + "\r\n" +
                            headers + (client->keep_alive ? "" : "Connection: close\r\n") +
                            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
@@ -369,7 +393,7 @@
   Client* client = clients_.Get(handle);
   if (client == nullptr || client->state != State::kResponding) return;
   // Requests that were already read after this one are answered before the connection closes.
-  if (draining_ && client->unparsed.empty()) client->keep_alive = false;
+  if (draining_ && client->input.empty()) client->keep_alive = false;
   const std::string head = "HTTP/1.1 200 OK\r\n" + headers +
                            (client->keep_alive ? "" : "Connection: close\r\n") +
                            "Transfer-Encoding: chunked\r\n\r\n";
@@ -450,17 +474,16 @@
   if (!client.keep_alive) {
     client.state = State::kLingering;
     client.congested = false;
-    client.unparsed.clear();
-    client.arrivals = {};
-    client.tcp->StartReading();
+    client.input.Clear();
+    ResumeReading(client);
     client.tcp->ShutdownWrite();
     return SetLingerDeadline(handle);
   }
   client.state = State::kIdle;
   client.parser.Reset();
   SetRequestDeadline(handle, client.idle_since + kIdleTimeout);
-  client.tcp->StartReading();
-  if (!client.unparsed.empty()) ParseInput(handle);
+  ResumeReading(client);
+  if (!client.input.empty()) ParseInput(handle);
 }
 
 }  // namespace ryeglade
--- a/src/http/downstream.h
+++ b/src/http/downstream.h
@@ -12,7 +12,7 @@
 #include "base/slot_table.h"
 #include "base/tcp.h"
 #include "http/acceptor.h"
-#include "http/arrival_log.h"
+#include "http/client_input.h"
 #include "http/close_reason.h"
 #include "http/request_parser.h"
 
@@ -92,6 +92,7 @@
   void OnRead(Handle connection, std::string_view bytes) override;
   void OnDisconnected(Handle connection) override;
   void OnDrained(Handle connection) override;
+  std::size_t ReadSize(Handle connection) const override;
 
  private:
   enum class State : std::uint8_t {
@@ -103,13 +104,14 @@
 
   // One connection.
   struct Client {
-    Client(BufferPool* pool, std::size_t max_body) : parser(pool, max_body) {}
+    Client(BufferPool* pool, std::size_t max_body) : parser(pool, max_body), input(pool) {}
     Tcp* tcp = nullptr;
     State state = State::kIdle;
     RequestParser parser;
-    std::string unparsed;    // bytes that have been read but not parsed; they follow the current request
-    ArrivalLog arrivals;     // when the bytes of `unparsed` were read
-    bool parsing = false;    // ParseInput is running; prevents recursion
+    ClientInput input;     // follows the current request
+    bool parsing = false;  // ParseInput is running; prevents recursion
+    bool paused = false;   // nothing is read from the socket, because the input is full or waits to be parsed
+    DeadlineId end_check;  // while paused: of the next check whether the client has closed the connection
     bool keep_alive = true;  // whether the connection stays open after the current response
     bool used = false;       // a complete request has been received
     bool excess = false;     // accepted above the number of served connections: gets only an error response
@@ -137,6 +139,8 @@
   void CloseGracefully(Handle connection, CloseReason reason);
   void CloseConnection(Handle connection, CloseReason reason);
   void CloseAndNotifyFront(Handle connection, CloseReason reason);
+  void PauseReading(Handle connection);
+  void ResumeReading(Client& client);
   void WatchForEndWhilePaused(Handle connection);
   void WatchForEndWhileClosing(Handle connection);
   // Requests.
@@ -145,6 +149,7 @@
   void ParseInput(Handle connection);
   void ParseRequest(Handle connection, Client& client);
   void OnRequestComplete(Handle connection, Client& client);
+  void RejectComplete(Handle connection, const char* reason);
   void RejectIncomplete(Handle connection, int status, const char* reason);
   // Responses.
   void ReplyError(Handle connection, int status);
--- a/tests/scripted_peers.h
+++ b/tests/scripted_peers.h
@@ -117,11 +117,22 @@
   return a;
 }
 
-inline Connection ConnectTo(int port) {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+// Returns no connection if it is refused. With a `receive_buffer` of a few bytes, what is not read soon waits
+// at the peer.
+inline Connection TryConnectTo(int port, int receive_buffer = 0) {
+  Connection connection(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  if (receive_buffer > 0) {
+    setsockopt(connection.fd(), SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
+  }
   const sockaddr_in a = Loopback(port);
-  assert(connect(fd, reinterpret_cast<const sockaddr*>(&a), sizeof a) == 0);
-  return Connection(fd);
+  if (connect(connection.fd(), reinterpret_cast<const sockaddr*>(&a), sizeof a) != 0) connection.Close();
+  return connection;
+}
+
+inline Connection ConnectTo(int port, int receive_buffer = 0) {
+  Connection connection = TryConnectTo(port, receive_buffer);
+  assert(connection.fd() >= 0);
+  return connection;
 }
 
 // A server whose responses the test writes itself: an upstream host or discovery.
@@ -140,6 +151,7 @@
     if (fd_ >= 0) close(fd_);
     fd_ = -1;
   }
+  int fd() const { return fd_; }
   int port() const { return port_; }
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
   // Returns true if a connection waits to be accepted within `ms` milliseconds.
@@ -303,15 +315,23 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : 128;
   }
   // Resident memory of the process in KiB; 0 if it can't be read.
-  long ResidentKb() const {
+  long ResidentKb() const { return StatusKb({"VmRSS:"}); }
+  // The same without the pages of the program's file and of libraries.
+  long PrivateKb() const { return StatusKb({"RssAnon:", "RssShmem:"}); }
+
+ private:
+  // The sum of these fields of the process's status, in KiB.
+  long StatusKb(const std::vector<std::string>& fields) const {
     std::ifstream in("/proc/" + std::to_string(pid_) + "/status");
+    long sum = 0;
     for (std::string line; std::getline(in, line);) {
-      if (line.rfind("VmRSS:", 0) == 0) return std::atol(line.c_str() + 6);
+      for (const std::string& field : fields) {
+        if (line.starts_with(field)) sum += std::atol(line.c_str() + field.size());
+      }
     }
-    return 0;
+    return sum;
   }
 
- private:
   std::string config_path_, log_path_, tmpdir_;
   bool own_tmpdir_ = false;  // whether the destructor removes tmpdir_
   nlohmann::json config_;
