Answer at most 16 pipelined requests of a connection before other sockets get a turn

Cause: ParseInput answered all that a connection had sent, and libuv reads up to 32 times from a socket in one turn, 64 KiB each, before the next socket is looked at.

Change: after 16 requests reading pauses and the rest is parsed in the next iteration (ParseLater).

--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -26,6 +26,7 @@
 constexpr Time kEndCheckInterval = 50'000;  // between checks whether the peer of an unread socket has closed
 constexpr Time kReadGrace = 10'000;         // a deadline that passes while input waits is postponed by this
 constexpr int kMaxEvictionAttempts = 4;     // per new connection
+constexpr int kMaxRequestsPerTurn = 16;     // of one connection, so that other sockets get their turn
 
 }  // namespace
 
@@ -312,8 +313,13 @@
   Client* client = clients_.Get(handle);
   if (client == nullptr || client->parsing) return;
   client->parsing = true;
+  int requests = 0;
   while (client != nullptr && !client->input.empty() &&
          (client->state == State::kIdle || client->state == State::kReading)) {
+    if (++requests > kMaxRequestsPerTurn) {
+      ParseLater(handle);
+      break;
+    }
     ParseRequest(handle, *client);
     client = clients_.Get(handle);
   }
@@ -322,6 +328,17 @@
   if (client->state == State::kResponding && client->input.full()) PauseReading(handle);
 }
 
+// Goes on with the input in the next loop iteration.
+void Downstream::ParseLater(Handle handle) {
+  PauseReading(handle);
+  runtime_->deadlines->Set(Now(), [this, handle] {
+    Client* client = clients_.Get(handle);
+    if (client == nullptr || client->state != State::kIdle) return;
+    ResumeReading(*client);
+    ParseInput(handle);
+  });
+}
+
 void Downstream::ParseRequest(Handle handle, Client& client) {
   if (client.state == State::kIdle) {
     client.state = State::kReading;
--- a/src/http/downstream.h
+++ b/src/http/downstream.h
@@ -147,6 +147,7 @@
   void SetRequestDeadline(Handle connection, Time at);
   void OnRequestTimeout(Handle connection);
   void ParseInput(Handle connection);
+  void ParseLater(Handle connection);
   void ParseRequest(Handle connection, Client& client);
   void OnRequestComplete(Handle connection, Client& client);
   void RejectComplete(Handle connection, const char* reason);
