Count the heads of requests against the memory budget, and take 128 fields at most

Cause: a parsed field is two strings in a vector: 4 bytes on the wire take 64 to 128 in memory, 262 KB a head, in no pool and under no limit but that of the head's bytes. The same for the texts that an open request keeps of its head.

Change: each field, with its overhead, is reserved before it is stored (503 if there is no memory); a head of over 128 fields is answered 431 at once. The reservation passes to the stream with the texts.

--- a/src/core/streams.h
+++ b/src/core/streams.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -23,6 +24,7 @@
   Time received_at = 0;             // when the first byte was received
   bool prepared = false;            // the front has already made the body ask for a stream and for usage
   std::string forwarded_headers{};  // the client's header lines that are sent to the replica unchanged
+  std::optional<MemoryReservation> head_memory{};  // for the texts above; none if they are short
 };
 
 // What Streams calls on a front. `client` is the front's own handle for the stream. For each stream, exactly
--- a/src/fronts/platform/platform_front.cpp
+++ b/src/fronts/platform/platform_front.cpp
@@ -76,6 +76,7 @@
   // Replicas of guarded classes recognize retries by a header that the client sends. Its name is not
   // specified, so all end-to-end headers are forwarded.
   stream.forwarded_headers = FieldLines(EndToEndFields(request.headers, FieldsReadHere()));
+  stream.head_memory = std::move(request.head_memory);
   stream.received_at = request.first_byte;
   call_ids_.insert(stream.call_id);
   requests_[connection] = {0, stream.call_id, false};
--- a/src/http/request_parser.cpp
+++ b/src/http/request_parser.cpp
@@ -2,7 +2,15 @@
 
 #include <strings.h>
 
+#include <string>
+
 namespace ryeglade {
+namespace {
+
+// Bytes that a header field takes besides its text: two strings, in a vector that may have twice their room.
+constexpr std::size_t kFieldOverhead = 4 * sizeof(std::string);
+
+}  // namespace
 
 const std::string* HttpRequest::Header(std::string_view name) const {
   for (const auto& [field, value] : headers) {
@@ -45,10 +53,7 @@
   static const http_parser_settings settings = [] {
     http_parser_settings s;
     http_parser_settings_init(&s);
-    s.on_url = [](http_parser* p, const char* at, std::size_t n) {
-      Of(p).request_.target.append(at, n);
-      return 0;
-    };
+    s.on_url = [](http_parser* p, const char* at, std::size_t n) { return Of(p).OnTarget({at, n}); };
     s.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
       return Of(p).OnHeaderField({at, n});
     };
@@ -63,15 +68,37 @@
   return settings;
 }
 
+// Returns 0, or 1 if the head takes more memory than there is.
+int RequestParser::ReserveForHead(std::size_t bytes) {
+  if (request_.head_memory.Resize(request_.head_memory.bytes() + bytes)) return 0;
+  limit_status_ = 503;
+  return 1;
+}
+
+int RequestParser::OnTarget(std::string_view part) {
+  if (ReserveForHead(part.size()) != 0) return 1;
+  request_.target.append(part);
+  return 0;
+}
+
 int RequestParser::OnHeaderField(std::string_view part) {
-  if (request_.headers.empty() || value_begun_) request_.headers.emplace_back();
+  if (request_.headers.empty() || value_begun_) {
+    if (request_.headers.size() == kMaxFields) {
+      limit_status_ = 431;
+      return 1;
+    }
+    if (ReserveForHead(kFieldOverhead) != 0) return 1;
+    request_.headers.emplace_back();
+  }
   value_begun_ = false;
+  if (ReserveForHead(part.size()) != 0) return 1;
   request_.headers.back().first.append(part);
   return 0;
 }
 
 int RequestParser::OnHeaderValue(std::string_view part) {
   value_begun_ = true;
+  if (ReserveForHead(part.size()) != 0) return 1;
   request_.headers.back().second.append(part);
   return 0;
 }
--- a/src/http/request_parser.h
+++ b/src/http/request_parser.h
@@ -16,9 +16,10 @@
 
 // A request. Fronts get only complete ones.
 struct HttpRequest {
-  explicit HttpRequest(BufferPool* pool) : body(pool) {}
+  explicit HttpRequest(BufferPool* pool) : head_memory(pool), body(pool) {}
   std::string method, target;
   std::vector<std::pair<std::string, std::string>> headers;  // in the order in which they were sent
+  MemoryReservation head_memory;                             // for `target` and `headers`
   BufferChain body;
   Time first_byte = 0;  // when the first byte was read
   bool http11 = true;   // HTTP/1.1 or a later 1.x
@@ -31,6 +32,9 @@
 // One per connection; Reset is called before each request after the first.
 class RequestParser {
  public:
+  // Maximum number of header fields, trailers included. A short field takes many times its size in memory.
+  static constexpr std::size_t kMaxFields = 128;
+
   // `pool` is not owned; `max_body` is in bytes.
   RequestParser(BufferPool* pool, std::size_t max_body) : pool_(pool), max_body_(max_body), request_(pool) {
     Reset();
@@ -46,6 +50,7 @@
   Result Parse(std::string_view bytes, std::size_t* consumed);
 
   HttpRequest& request() { return request_; }  // the part that has been parsed so far
+  const HttpRequest& request() const { return request_; }
   // Whether the client wants the connection to stay open; valid once the request is complete.
   bool keep_alive() const { return keep_alive_; }
   // Returns true, once per request, if the client waits for "100 Continue" before it sends the body.
@@ -58,11 +63,13 @@
  private:
   static const http_parser_settings& Callbacks();
   static RequestParser& Of(http_parser* parser) { return *static_cast<RequestParser*>(parser->data); }
+  int OnTarget(std::string_view part);
   int OnHeaderField(std::string_view part);
   int OnHeaderValue(std::string_view part);
   int OnHeadersComplete();
   int OnBody(std::string_view part);
   int OnMessageComplete();
+  int ReserveForHead(std::size_t bytes);
 
   BufferPool* pool_;
   std::size_t max_body_;
