Parse no further request while a client does not read its answers

Callers saw: clients that pipeline requests that the node answers itself and read nothing use the buffers up (68 MB with six of them at 192 MB); usual requests are refused with 503, and any response that can't be written at once ends its connection.

Cause: the limit on unsent output (kMaxUnsent) was only asked for streams; Reply wrote on, and ParseInput went on with the next request.

Change: with 128 KiB unsent, 16 KiB while the budget is half used, the connection is not parsed or read until the client has read; after 10 s without progress it is closed as a congested stream is.

--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -14,8 +14,9 @@
 constexpr std::uint32_t kMaxHead = 16 * 1024;  // of a request
 // A pipelined request behind which more than this waits unread is refused.
 constexpr std::size_t kMaxUnread = std::size_t{16} * 1024;
-// Maximum unsent output; after that the front is told to stop sending.
+// Maximum unsent output; after that the front is told to stop sending, and no further request is parsed.
 constexpr std::size_t kMaxUnsent = std::size_t{128} * 1024;
+constexpr std::size_t kMaxUnsentWhenShort = std::size_t{16} * 1024;  // while the memory budget is half used
 // Times in microseconds.
 constexpr Time kIdleTimeout = 60'000'000;   // a connection without a further request for this long is closed
 constexpr Time kEvictableAfter = 500'000;   // without a complete request for this long, it may be evicted
@@ -316,6 +317,10 @@
   int requests = 0;
   while (client != nullptr && !client->input.empty() &&
          (client->state == State::kIdle || client->state == State::kReading)) {
+    if (client->state == State::kIdle && OutputFull(*client)) {
+      AwaitDrain(handle);
+      break;
+    }
     if (++requests > kMaxRequestsPerTurn) {
       ParseLater(handle);
       break;
@@ -328,6 +333,21 @@
   if (client->state == State::kResponding && client->input.full()) PauseReading(handle);
 }
 
+bool Downstream::OutputFull(const Client& client) const {
+  return client.tcp->unsent() >= (runtime_->buffers->HalfUsed() ? kMaxUnsentWhenShort : kMaxUnsent);
+}
+
+// The client pipelines requests and does not read the responses. OnDrained goes on with its input.
+void Downstream::AwaitDrain(Handle handle) {
+  PauseReading(handle);
+  Client& client = *clients_.Get(handle);
+  runtime_->deadlines->Cancel(client.deadline);
+  client.deadline = runtime_->deadlines->Set(Now() + kWriteTimeout, [this, handle] {
+    Log(Level::kWarn, "client-write-timeout");
+    CloseConnection(handle, CloseReason::kWriteTimeout);
+  });
+}
+
 // Goes on with the input in the next loop iteration.
 void Downstream::ParseLater(Handle handle) {
   PauseReading(handle);
@@ -434,7 +454,7 @@
                              [this, handle] { CloseAndNotifyFront(handle, CloseReason::kWriteFailed); });
     return;
   }
-  if (client.congested || client.tcp->unsent() < kMaxUnsent) return;
+  if (client.congested || !OutputFull(client)) return;
   client.congested = true;
   client.deadline = runtime_->deadlines->Set(Now() + kWriteTimeout, [this, handle] {
     Log(Level::kWarn, "client-write-timeout");
@@ -447,6 +467,10 @@
   Client* client = clients_.Get(handle);
   if (client == nullptr) return;
   if (client->state == State::kLingering) SetLingerDeadline(handle);
+  if (client->state == State::kIdle && client->paused) {
+    ResumeReading(*client);
+    return ParseInput(handle);
+  }
   if (!client->congested) return;
   client->congested = false;
   runtime_->deadlines->Cancel(client->deadline);
--- a/src/http/downstream.h
+++ b/src/http/downstream.h
@@ -147,6 +147,8 @@
   void SetRequestDeadline(Handle connection, Time at);
   void OnRequestTimeout(Handle connection);
   void ParseInput(Handle connection);
+  bool OutputFull(const Client& client) const;
+  void AwaitDrain(Handle connection);
   void ParseLater(Handle connection);
   void ParseRequest(Handle connection, Client& client);
   void OnRequestComplete(Handle connection, Client& client);
