When memory is short, refuse the largest unfinished request instead of usual ones

Callers saw: clients that send most of a large body and stop use the buffers up; usual requests get 503 until these requests time out after 2.7 s, again and again (200 clients at 64 MB: the first usual request after their start).

Cause: the buffers belong to whoever took them first; a full pool refuses every later body, and the fronts refuse every request from nine tenths on, whatever holds the rest.

Change: BufferPool asks reclaimers before it says no. Downstream ends the unfinished request that holds the most (503, harmless to repeat), unless the one being parsed holds more itself. The memory of a refused request is freed at once, no longer when its connection closes.

--- a/src/base/buffer_pool.cpp
+++ b/src/base/buffer_pool.cpp
@@ -7,7 +7,7 @@
 namespace ryeglade {
 
 char* BufferPool::Acquire() {
-  if (!HasRoomFor(kSize)) return nullptr;
+  if (!MakeRoomFor(kSize)) return nullptr;
   ++in_use_;
   if (free_.empty()) return std::make_unique<char[]>(kSize).release();
   char* buffer = free_.back().release();
@@ -17,17 +17,40 @@
 
 void BufferPool::Release(char* buffer) {
   --in_use_;
-  // Keep at most kMaxFree buffers, so that the memory of a burst is given back.
+  // Keep only some buffers, so that the memory of a burst is given back.
   std::unique_ptr<char[]> owned(buffer);
   if (free_.size() < kMaxFree) free_.push_back(std::move(owned));
 }
 
 bool BufferPool::Reserve(std::size_t bytes) {
-  if (!HasRoomFor(bytes)) return false;
+  if (!MakeRoomFor(bytes)) return false;
   reserved_ += bytes;
   return true;
 }
 
+bool BufferPool::MakeRoomFor(std::size_t bytes) {
+  while (!HasRoomFor(bytes)) {
+    if (!Reclaim()) return false;
+  }
+  return true;
+}
+
+bool BufferPool::MakeHeadroom() {
+  while (NearlyExhausted()) {
+    if (!Reclaim()) return false;
+  }
+  return true;
+}
+
+bool BufferPool::Reclaim() {
+  if (reclaiming_) return false;
+  reclaiming_ = true;
+  const bool reclaimed =
+      std::any_of(reclaimers_.begin(), reclaimers_.end(), [](const auto& reclaim) { return reclaim(); });
+  reclaiming_ = false;
+  return reclaimed;
+}
+
 MemoryReservation::MemoryReservation(MemoryReservation&& other) noexcept
     : pool_(other.pool_), bytes_(std::exchange(other.bytes_, 0)) {}
 
--- a/src/base/buffer_pool.h
+++ b/src/base/buffer_pool.h
@@ -4,9 +4,11 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace ryeglade {
@@ -19,6 +21,10 @@
   static constexpr std::size_t kMaxFree = 128;                  // number of released buffers kept for reuse
   explicit BufferPool(std::size_t max_bytes) : max_bytes_(max_bytes) {}
 
+  // `reclaim` is called when the budget is exhausted. It ends some work that holds memory and can be
+  // repeated, and returns false if there is none.
+  void AddReclaimer(std::function<bool()> reclaim) { reclaimers_.push_back(std::move(reclaim)); }
+
   // If the limit is lowered, buffers in use and reservations remain valid.
   void SetMaxBytes(std::size_t max_bytes) { max_bytes_ = max_bytes; }
   char* Acquire();             // returns nullptr if the budget is exhausted
@@ -35,15 +41,22 @@
   // Returns whether at least half of the budget is used.
   bool HalfUsed() const { return used_bytes() >= max_bytes_ / 2; }
   // Returns whether at least nine tenths of the budget are used.
-  bool NearlyExhausted() const { return used_bytes() >= max_bytes_ / 10 * 9; }
+  bool NearlyExhausted() const { return used_bytes() * 10 >= max_bytes_ * 9; }
+  // Returns whether there is memory for another request and its response: a tenth of the budget, for which
+  // memory is reclaimed if need be.
+  bool MakeHeadroom();
 
  private:
   bool HasRoomFor(std::size_t bytes) const { return used_bytes() + bytes <= max_bytes_; }
+  bool MakeRoomFor(std::size_t bytes);
+  bool Reclaim();
 
   std::size_t max_bytes_;
   std::size_t in_use_ = 0;    // number of buffers
   std::size_t reserved_ = 0;  // bytes
   std::vector<std::unique_ptr<char[]>> free_;
+  std::vector<std::function<bool()>> reclaimers_;
+  bool reclaiming_ = false;  // a reclaimer is running; prevents recursion
 };
 
 // A number of bytes that count against the budget until the object is destroyed. Can be moved but not copied.
--- a/src/fronts/openai/openai_front.cpp
+++ b/src/fronts/openai/openai_front.cpp
@@ -302,7 +302,7 @@
   const openai::Body& body = *read.body;
   const ModelSettings* model = FindModel(body.model);
   if (model == nullptr) return Reject(connection, UnknownModel(body.model));
-  if (core_->buffers->NearlyExhausted()) return Reject(connection, ErrorForStatus(503));
+  if (!core_->buffers->MakeHeadroom()) return Reject(connection, ErrorForStatus(503));
 
   const TokenEstimate tokens = EstimateTokens(body, *model);
   const limits::KeyLimits limits = LimitsOf(*key);
--- a/src/fronts/platform/platform_front.cpp
+++ b/src/fronts/platform/platform_front.cpp
@@ -68,7 +68,7 @@
   }
   // Two streams with the same id could send two attempts of one call at the same time.
   if (call_ids_.contains(stream.call_id)) return ReplyLocally(connection, 409, "open-id");
-  if (core_->buffers->NearlyExhausted()) return ReplyLocally(connection, 503, "memory", "Retry-After: 1\r\n");
+  if (!core_->buffers->MakeHeadroom()) return ReplyLocally(connection, 503, "memory", "Retry-After: 1\r\n");
   stream.method = request.method;
   stream.target = request.target;
   if (const std::string* type = request.Header("content-type")) stream.content_type = *type;
--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -40,7 +40,9 @@
       acceptor_(runtime, {.has_capacity = [this] { return HasCapacity(); },
                           .make_capacity = [this] { return EvictConnection() || HasCapacity(); },
                           .on_connection = [this](int fd) { AddClient(fd); },
-                          .connections = [this] { return clients_.size(); }}) {}
+                          .connections = [this] { return clients_.size(); }}) {
+  runtime_->buffers->AddReclaimer([this] { return ReclaimMemory(); });
+}
 
 std::string Downstream::Listen() {
   RequestParser::SetMaxHead(kMaxHead);
@@ -285,16 +287,35 @@
   CloseGracefully(handle, CloseReason::kRequestTimeout);
 }
 
-// Answers a request that is not complete; this response is the connection's last.
+// Answers a request that is not complete or not valid; this response is the connection's last.
 void Downstream::RejectIncomplete(Handle handle, int status, const char* reason) {
   Client& client = *clients_.Get(handle);
   runtime_->deadlines->Cancel(client.deadline);
   client.state = State::kResponding;
   client.keep_alive = false;
+  client.parser.Reset();  // frees what has been received
   Log(Level::kWarn, "local-reply", {{"status", status}, {"why", reason}});
   ReplyError(handle, status);
 }
 
+// Called when memory is short. Refuses the incomplete request that holds the most, so that clients that send
+// much and do not finish don't keep others out. Returns false if there is none, or if the request that is
+// being parsed, and probably needs the memory, holds the most itself.
+bool Downstream::ReclaimMemory() {
+  Handle largest = 0;
+  std::size_t most = 0;
+  for (const Handle handle : clients_.All()) {
+    const Client& client = *clients_.Get(handle);
+    const std::size_t held = client.state == State::kReading ? client.parser.request().HeldBytes() : 0;
+    if (held <= most) continue;
+    most = held;
+    largest = client.parsing ? 0 : handle;
+  }
+  if (largest == 0) return false;
+  RejectIncomplete(largest, 503, "memory");
+  return true;
+}
+
 std::size_t Downstream::ReadSize(Handle handle) const {
   const Client* client = clients_.Get(handle);
   return client == nullptr ? kMaxReadSize : client->input.ReadSize();
@@ -375,12 +396,7 @@
   }
   client.input.Clear();
   if (result == RequestParser::Result::kIncomplete) return;
-  const int status = client.parser.error_status();
-  Log(Level::kWarn, "local-reply", {{"status", status}, {"why", client.parser.error_reason()}});
-  runtime_->deadlines->Cancel(client.deadline);
-  client.state = State::kResponding;
-  client.keep_alive = false;
-  ReplyError(handle, status);
+  RejectIncomplete(handle, client.parser.error_status(), client.parser.error_reason());
 }
 
 // A client that pipelines more requests than are read ahead gets them refused, except for the first and the
--- a/src/http/downstream.h
+++ b/src/http/downstream.h
@@ -154,6 +154,7 @@
   void OnRequestComplete(Handle connection, Client& client);
   void RejectComplete(Handle connection, const char* reason);
   void RejectIncomplete(Handle connection, int status, const char* reason);
+  bool ReclaimMemory();
   // Responses.
   void ReplyError(Handle connection, int status);
   void OnWritten(Handle connection, bool written);
--- a/src/http/request_parser.h
+++ b/src/http/request_parser.h
@@ -24,6 +24,7 @@
   Time first_byte = 0;  // when the first byte was read
   bool http11 = true;   // HTTP/1.1 or a later 1.x
 
+  std::size_t HeldBytes() const { return head_memory.bytes() + body.size(); }
   std::string_view Path() const { return std::string_view(target).substr(0, target.find('?')); }
   // Returns the value of the first field with this name, ignoring case; nullptr if there is none.
   const std::string* Header(std::string_view name) const;
