Count what is held of replicas' responses against the memory budget

Seen by test: replicas that begin an event and do not end it bring a node of 16 or 64 MB with 1,024 descriptors over its limit (200 requests, 60 instances).

Cause: until the first event is complete up to 256 KiB of a response are held back, in the connection and once more in the dialect's reader; the OpenAI-style reader holds an unfinished event as long. None of it was counted. Names and values of response headers were kept up to the size of a head.

Change: UpstreamConnection reserves what it and its reader hold; without memory the attempt ends as reset. Of a header 4 KiB of name and of value are kept.

--- a/src/core/connection_pool.cpp
+++ b/src/core/connection_pool.cpp
@@ -20,6 +20,7 @@
   UpstreamConnection& connection = *connections_.Get(handle);
   connection.host = host;
   connection.request = request;
+  connection.response_memory.emplace(core_->buffers);
   connection.tcp = Tcp::New(core_->loop, core_->buffers, owner_, handle);
   const Time connect_by = Now() + core_->config->settings.connect_timeout;
   connection.deadline = core_->deadlines->Set(connect_by, [this, handle, on_timeout = std::move(on_timeout)] {
@@ -81,7 +82,8 @@
   connection.request = 0;
   connection.request_written = false;
   connection.response = {};
-  connection.buffered_body.clear();
+  connection.buffered_body = {};
+  connection.response_memory->Resize(0);
   connection.first_byte_at = 0;
   connection.tcp->StartReading();  // reading may have been paused for the previous client
   connection.idle_since = Now();
--- a/src/core/connection_pool.h
+++ b/src/core/connection_pool.h
@@ -6,6 +6,8 @@
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "base/slot_table.h"
@@ -20,12 +22,13 @@
 struct UpstreamConnection {
   ReplicaId host = 0;
   Tcp* tcp = nullptr;
-  ResponseParser response;       // parses the response to the current request
-  std::string buffered_body;     // body bytes that are not passed on until the first event is complete
-  bool connected = false;        // the TCP connection is established
-  bool request_written = false;  // the complete request has been passed to the socket
-  Time idle_since = 0;           // when it was returned to the pool
-  Time first_byte_at = 0;        // when the first byte of the current response arrived; 0 before that
+  ResponseParser response;    // parses the response to the current request
+  std::string buffered_body;  // body bytes that are not passed on until the first event is complete
+  std::optional<MemoryReservation> response_memory;  // for what is held of the response
+  bool connected = false;                            // the TCP connection is established
+  bool request_written = false;                      // the complete request has been passed to the socket
+  Time idle_since = 0;                               // when it was returned to the pool
+  Time first_byte_at = 0;  // when the first byte of the current response arrived; 0 before that
   DeadlineId deadline;  // while connecting: the connect timeout; in the pool: when the connection is closed
   Handle request = 0;   // handle of the request that uses the connection; 0 if it is idle in the pool
 };
--- a/src/core/dialect.h
+++ b/src/core/dialect.h
@@ -2,6 +2,7 @@
 // means. HTTP framing, connections and timeouts are handled by Upstream; a dialect does no I/O.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -52,6 +53,8 @@
   // The body of an error response, for the client; it may be truncated. Empty if the dialect does not keep
   // it.
   virtual std::string error_body() const { return ""; }
+  // How many bytes of the response the reader holds, but for a small constant number.
+  virtual std::size_t held_bytes() const { return 0; }
 };
 
 // Returns the number after the last occurrence of `name`, 0 if no number follows it, and nullopt if the text
--- a/src/core/response_parser.cpp
+++ b/src/core/response_parser.cpp
@@ -16,6 +16,13 @@
   return true;
 }
 
+// Bytes of a header's name, and of its value, that are kept. No header that a dialect reads is longer.
+constexpr std::size_t kMaxHeaderBytes = std::size_t{4} * 1024;
+
+void AppendBounded(std::string& text, std::string_view part) {
+  text.append(part.substr(0, kMaxHeaderBytes - std::min(kMaxHeaderBytes, text.size())));
+}
+
 }  // namespace
 
 void ResponseParser::Start(const Dialect* dialect) {
@@ -69,13 +76,13 @@
     message_.field.clear();
     message_.value.clear();
   }
-  message_.field.append(part);
+  AppendBounded(message_.field, part);
   return 0;
 }
 
 int ResponseParser::OnHeaderValue(std::string_view part) {
   message_.value_begun = true;
-  message_.value.append(part);
+  AppendBounded(message_.value, part);
   message_.reader->OnHeader(message_.field, message_.value);
   return 0;
 }
--- a/src/core/upstream.cpp
+++ b/src/core/upstream.cpp
@@ -244,6 +244,8 @@
     return Finish(request_handle, Outcome::kReset);
   if (!request.started && !request.is_health_check()) {
     AwaitFirstEvent(request_handle, *connection, body);
+  } else if (!ReserveResponse(*connection)) {
+    return Finish(request_handle, Outcome::kReset);
   } else {
     ForwardBody(request_handle, body, progress);
   }
@@ -285,12 +287,19 @@
   }
   if (status != 200) return;
   for (const std::string_view piece : body) connection.buffered_body.append(piece);
-  if (connection.buffered_body.size() > ResponseParser::kMaxChunkBytes)
+  if (connection.buffered_body.size() > ResponseParser::kMaxChunkBytes || !ReserveResponse(connection))
     return Finish(handle, Outcome::kReset);
   if (connection.response.reader()->has_event() && connection.response.at_chunk_boundary())
     StartStream(handle, connection);
 }
 
+// Counts what is held of a response against the memory budget. Returns false if there is no memory for it.
+bool Upstream::ReserveResponse(UpstreamConnection& connection) {
+  const ResponseReader* reader = connection.response.reader();
+  const std::size_t held_by_reader = reader != nullptr ? reader->held_bytes() : 0;
+  return connection.response_memory->Resize(connection.buffered_body.capacity() + held_by_reader);
+}
+
 void Upstream::StartStream(Handle handle, UpstreamConnection& connection) {
   Request& request = *requests_.Get(handle);
   request.started = true;
@@ -300,6 +309,7 @@
   core_->events->Post(policy::ResponseStarted{request.stream, request.attempt, request.replica,
                                               request.last_byte_at - request.sent_at});
   const std::string buffered = std::exchange(connection.buffered_body, {});
+  ReserveResponse(connection);
   core_->responses->OnData(request.stream, buffered);
 }
 
--- a/src/core/upstream.h
+++ b/src/core/upstream.h
@@ -80,6 +80,7 @@
                 bool* progress) const;
   void AwaitFirstEvent(Handle request, UpstreamConnection& connection,
                        const std::vector<std::string_view>& body);
+  static bool ReserveResponse(UpstreamConnection& connection);
   void StartStream(Handle request, UpstreamConnection& connection);
   void ForwardBody(Handle request, const std::vector<std::string_view>& body, bool progress);
   void OnResponseComplete(Handle request, ResponseParser& response);
--- a/src/dialects/openai/openai_dialect.cpp
+++ b/src/dialects/openai/openai_dialect.cpp
@@ -117,6 +117,7 @@
 
   ResponseMetadata Metadata(bool) const override { return {cached_tokens_, load_report_}; }
   std::string error_body() const override { return error_body_; }
+  std::size_t held_bytes() const override { return events_.unfinished().size() + error_body_.size(); }
 
  private:
   EventStream events_{kMaxEventBytes};
--- a/src/dialects/platform/platform_dialect.cpp
+++ b/src/dialects/platform/platform_dialect.cpp
@@ -41,6 +41,7 @@
   }
 
   bool has_event() const override { return has_event_; }
+  std::size_t held_bytes() const override { return first_event_.capacity(); }
 
   ResponseResult Result(int status, bool health_check) const override {
     if (status == 200) return {health_check || has_event_ ? Outcome::kServed : Outcome::kError};
