Bound what a list from discovery takes in memory, and the number of replicas

Seen by test: one list of 900 kB of `{},` brings a node of 16 MB over its limit; one of 7.9 MB a node of 192 MB.

Cause: lists of up to 8 MB whatever the memory, as text in up to four calls, and parsed into a document that takes up to 27 times its text; every entry became a replica, however many.

Change: a list has at most a 16th of the memory limit; its text counts against the budget; the parser's callback stores one entry at a time and of it only the keys that are read; nesting over 64 is malformed; at most 64 unusable entries are kept for the log. Replicas take at most a quarter of the memory (1 KiB each: 4,096 at 16 MB, 49,152 at 192); what goes beyond is skipped and logged (discovery-list-too-long).

Test greedy_peers_lists_*: before, over the limit at 16 MB (first list) and at 192 MB (fifth); now at most 9.3, 26 and 90 MiB of 16, 64 and 192 after eight such lists, one of 22,000 and one of 190,000 sound entries among them.

--- a/src/core/discovery.cpp
+++ b/src/core/discovery.cpp
@@ -1,5 +1,6 @@
 #include "core/discovery.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/log.h"
@@ -20,6 +21,7 @@
 constexpr Time kSwitchRetryDelay = 250'000;    // minimum; the delay is less than twice this
 constexpr Time kWatchRetryDelay = 200'000;     // minimum; the delay is less than twice this
 constexpr std::size_t kMaxListBytes = std::size_t{8} * 1024 * 1024;
+constexpr std::size_t kListMemoryShare = 16;  // a list has at most one part in so many of the memory limit
 
 // Returns the time of a retry: after `delay`, plus up to the same time again as jitter, which is taken from
 // the clock. All nodes lose their watch at the same time and should not retry at the same time.
@@ -90,7 +92,9 @@
 // ---- Requests ----
 
 void Discovery::StartRequest(RequestKind kind) {
-  const Handle handle = requests_.Add({});
+  const std::size_t limit = core_->config->memory_mb * 1024 * 1024;
+  const Handle handle =
+      requests_.Add(Request(core_->buffers, std::min(kMaxListBytes, limit / kListMemoryShare)));
   Request& request = *requests_.Get(handle);
   request.kind = kind;
   if (kind == RequestKind::kWatch) watch_ = handle;
@@ -165,7 +169,8 @@
     s.on_body = [](http_parser* p, const char* at, std::size_t n) {
       Request& request = *static_cast<Request*>(p->data);
       request.body.append(at, n);
-      return request.body.size() > kMaxListBytes ? 1 : 0;
+      request.memory.ResizeUnchecked(request.body.capacity() + request.objects.pending());
+      return request.body.size() > request.max_bytes ? 1 : 0;
     };
     s.on_message_complete = [](http_parser* p) {
       Request& request = *static_cast<Request*>(p->data);
@@ -228,7 +233,8 @@
       Log(Level::kInfo, "watching", {{"generation", generation}});
     }
   }
-  if (request->objects.pending() > kMaxListBytes) return Fail(handle, "malformed");
+  if (request->objects.pending() > request->max_bytes) return Fail(handle, "malformed");
+  request->memory.ResizeUnchecked(request->objects.pending());
   if (request->complete) Fail(handle, "ended");
 }
 
--- a/src/core/discovery.h
+++ b/src/core/discovery.h
@@ -60,6 +60,7 @@
   };
   // A request to discovery, from opening its connection to the end of its response.
   struct Request {
+    Request(BufferPool* pool, std::size_t max_list_bytes) : max_bytes(max_list_bytes), memory(pool) {}
     RequestKind kind = RequestKind::kPoll;
     Tcp* tcp = nullptr;
     http_parser parser{};
@@ -67,6 +68,8 @@
     bool complete = false;       // the response has ended
     int status = 0;              // 0 until the response head is complete
     std::string body;            // received and not processed yet
+    std::size_t max_bytes;       // of a list
+    MemoryReservation memory;    // for `body` and `objects`
     JsonObjectReader objects;    // for a watch: splits the body into objects
     DeadlineId deadline;         // when the request fails unless more arrives
   };
--- a/src/core/endpoint_list_parser.cpp
+++ b/src/core/endpoint_list_parser.cpp
@@ -3,7 +3,10 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
+#include <exception>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "base/tcp.h"
 
@@ -70,10 +73,86 @@
   return listed;
 }
 
+// Entries that cannot be used are kept up to this number, for the log.
+constexpr std::size_t kMaxInvalidEntries = 64;
+
+// Depths in a list's JSON text.
+constexpr int kListKeyDepth = 1;   // of "instances", and of the array
+constexpr int kEntryDepth = 2;     // of an object within the array
+constexpr int kEntryKeyDepth = 3;  // of "instanceId", and of its value
+constexpr int kMaxDepth = 64;      // of anything in the text
+
+// Thrown out of the parser, which has no other way to be ended.
+class NestedTooDeeply : public std::exception {};
+
+// Collects the entries while the text is parsed and keeps the parser from storing anything that is not
+// needed: a document of short values takes many times its size in memory.
+class EntryCollector {
+ public:
+  explicit EntryCollector(const Config* config) : config_(config) {}
+
+  // The callback of the JSON parser. Returns whether it is to keep the value.
+  bool OnEvent(int depth, json::parse_event_t event, const json& value) {
+    if (depth > kMaxDepth) throw NestedTooDeeply();
+    if (depth == 0) return true;
+    if (depth == kListKeyDepth) return OnListValue(event, value);
+    if (!in_instances_) return false;
+    if (depth == kEntryDepth) return OnEntry(event, value);
+    return depth == kEntryKeyDepth && OnEntryValue(event, value);
+  }
+
+  std::vector<ListedEndpoint> entries;
+
+ private:
+  bool OnListValue(json::parse_event_t event, const json& value) {
+    if (event == json::parse_event_t::key) {
+      in_instances_ = value == "instances";
+      return in_instances_ || value == "generation" || value == "reset";
+    }
+    if (event == json::parse_event_t::array_start) entries.clear();  // of a key that stands twice
+    return true;
+  }
+
+  bool OnEntry(json::parse_event_t event, const json& value) {
+    if (event == json::parse_event_t::object_start) return true;
+    if (event == json::parse_event_t::object_end || event == json::parse_event_t::value) Add(value);
+    return false;
+  }
+
+  static bool OnEntryValue(json::parse_event_t event, const json& value) {
+    if (event == json::parse_event_t::value) return true;
+    if (event != json::parse_event_t::key) return false;
+    static constexpr std::array<const char*, 8> kKeys = {
+        "instanceId", "hostPort", "zone", "machineType", "cell", "weight", "startedAtMs", "lifecycle"};
+    return std::any_of(kKeys.begin(), kKeys.end(), [&](const char* key) { return value == key; });
+  }
+
+  void Add(const json& entry) {
+    ListedEndpoint listed = ParseEntry(entry, *config_);
+    if (listed.invalid != InvalidEntry::kNone && ++invalid_ > kMaxInvalidEntries) return;
+    entries.push_back(std::move(listed));
+  }
+
+  const Config* config_;
+  bool in_instances_ = false;  // the value of the key "instances" is being parsed
+  std::size_t invalid_ = 0;    // number of entries that cannot be used
+};
+
 }  // namespace
 
 std::optional<ParsedEndpointList> ParseEndpointList(std::string_view text, const Config& config) {
-  const json list = json::parse(text, nullptr, false);
+  EntryCollector collector(&config);
+  json list;
+  try {
+    list = json::parse(
+        text,
+        [&](int depth, json::parse_event_t event, json& value) {
+          return collector.OnEvent(depth, event, value);
+        },
+        false);
+  } catch (const NestedTooDeeply&) {
+    return std::nullopt;
+  }
   if (!list.is_object()) return std::nullopt;
   const auto generation = list.find("generation");
   const auto instances = list.find("instances");
@@ -84,7 +163,7 @@
   parsed.generation = generation->get<std::uint64_t>();
   const auto reset = list.find("reset");
   parsed.reset = reset != list.end() && reset->is_boolean() && reset->get<bool>();
-  for (const json& entry : *instances) parsed.entries.push_back(ParseEntry(entry, config));
+  parsed.entries = std::move(collector.entries);
   return parsed;
 }
 
--- a/src/core/endpoint_table.cpp
+++ b/src/core/endpoint_table.cpp
@@ -16,6 +16,11 @@
 using policy::EndpointListScope;
 using policy::EndpointState;
 
+// A replica takes up to this many bytes in the node's tables, which get one part in kMemoryShare of its
+// memory.
+constexpr std::size_t kBytesPerReplica = 1024;
+constexpr std::size_t kMemoryShare = 4;
+
 void LogInvalid(const ListedEndpoint& entry) {
   if (entry.invalid == InvalidEntry::kNoName) {
     Log(Level::kWarn, "discovery-entry-skipped", {{"why", "no-name"}});
@@ -77,11 +82,32 @@
 
 // ---- Lists ----
 
+std::size_t EndpointTable::MaxReplicas() const {
+  return core_->config->memory_mb * 1024 * 1024 / kMemoryShare / kBytesPerReplica;
+}
+
+bool EndpointTable::IsListed(const std::string& instance) const {
+  const auto known = ids_.find(instance);
+  return known != ids_.end() && listed_.contains(known->second);
+}
+
 void EndpointTable::Apply(const ParsedEndpointList& list, EndpointListScope scope, const char* source) {
   EndpointList update{scope, static_cast<std::uint32_t>(list.generation), {}};
   std::set<ReplicaId> listed;
   std::vector<ReplicaId> removed;
-  for (const ListedEndpoint& entry : list.entries) ApplyEntry(entry, &update, &listed, &removed);
+  const std::size_t kept = scope == EndpointListScope::kDelta ? listed_.size() : 0;
+  const std::size_t capacity = MaxReplicas() - std::min(MaxReplicas(), kept);
+  std::size_t skipped = 0;
+  for (const ListedEndpoint& entry : list.entries) {
+    if (listed.size() < capacity || IsListed(entry.name)) {
+      ApplyEntry(entry, &update, &listed, &removed);
+    } else {
+      ++skipped;
+    }
+  }
+  if (skipped > 0) {
+    Log(Level::kError, "discovery-list-too-long", {{"skipped", skipped}, {"most", MaxReplicas()}});
+  }
   if (scope == EndpointListScope::kDelta) {
     listed_.insert(listed.begin(), listed.end());
     for (const ReplicaId id : removed) listed_.erase(id);
--- a/src/core/endpoint_table.h
+++ b/src/core/endpoint_table.h
@@ -52,6 +52,8 @@
 
  private:
   bool Withdraws(const ListedEndpoint& entry) const;
+  std::size_t MaxReplicas() const;
+  bool IsListed(const std::string& instance) const;
   void ApplyEntry(const ListedEndpoint& entry, policy::EndpointList* update, std::set<ReplicaId>* listed,
                   std::vector<ReplicaId>* removed);
   void Forget(ReplicaId id);
