Use no more descriptors than the memory suffices for

Cause, by reading and a measurement: a client's connection takes 1.9 KB of the process before it sends anything (4,000 connections: 7.5 MB), which no budget counted; a deployment of 16 MB that allows 20,000 descriptors could be filled by connections alone.

Change: UsableSockets takes at most 64 for each MB of memory, so that connections at 4 KiB each stay within a quarter of it. Nothing changes for the limits of the sites (1,024 descriptors from 16 MB on).

Test SocketBudget.AProcessUsesNoMoreSocketsThanItsMemoryAllows; its function is new, the process was not tried with 20,000 descriptors.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -58,11 +58,13 @@
 // Returns the limit of the buffer pool. The other half of the memory limit is for everything else.
 std::size_t BufferBytes(const Config& config) { return config.memory_mb * 1024 * 1024 / 2; }
 
+std::size_t SocketsOf(const Config& config) { return UsableSockets(config.sockets, config.memory_mb); }
+
 Downstream::Options ClientListenerOptions(const Config& config, const EdgeSettings& settings) {
   Downstream::Options options;
   options.listen = config.listen;
   options.share_port = true;
-  options.max_connections = ListenerSockets(TrafficSockets(config.sockets), settings);
+  options.max_connections = ListenerSockets(TrafficSockets(SocketsOf(config)), settings);
   return options;
 }
 
@@ -81,7 +83,7 @@
   options.paths.lease = AddressFilePath("lease", config);
   options.paths.state = AddressFilePath("state", config);
   options.paths.in_flight = AddressFilePath("out", config);
-  options.sockets = config.sockets;
+  options.sockets = SocketsOf(config);
   options.memory = BufferBytes(config);
   return options;
 }
@@ -113,7 +115,7 @@
         dialect_(std::move(files.dialect)),
         core_(MakeCore()),
         streams_(&core_),
-        upstream_(&core_, UpstreamSockets(TrafficSockets(config.sockets))),
+        upstream_(&core_, UpstreamSockets(TrafficSockets(SocketsOf(config)))),
         discovery_(&core_),
         decisions_(&core_),
         front_(&core_, &streams_),
@@ -132,7 +134,7 @@
     }
     if (settings_.openai.enabled) {
       openai_ = std::make_unique<OpenAiService>(&core_, &streams_, &settings_.openai, std::move(files.keys),
-                                                ListenerSockets(TrafficSockets(config.sockets), settings_));
+                                                ListenerSockets(TrafficSockets(SocketsOf(config)), settings_));
       shutdown_.AddListener(&openai_->listener());
     }
     if (settings_.timeline.enabled()) AddFlightRecorder();
--- a/src/app/socket_budget.cpp
+++ b/src/app/socket_budget.cpp
@@ -12,11 +12,17 @@
 
 constexpr std::size_t kOwnSockets = 24 + AdminFront::kSockets;  // the reserve without discovery's sockets
 constexpr std::size_t kMinTrafficSockets = 16;
+// A connection takes up to 4 KiB without what it sends, and all of them a quarter of the memory.
+constexpr std::size_t kSocketsPerMb = 64;
 constexpr std::size_t kUpstreamPercent = 45;
 constexpr std::size_t kClientPercent = 100 - kUpstreamPercent;
 
 }  // namespace
 
+std::size_t UsableSockets(std::size_t sockets, std::size_t memory_mb) {
+  return std::min(sockets, memory_mb * kSocketsPerMb);
+}
+
 std::size_t ReservedSockets() { return kOwnSockets + Discovery::kMaxSockets; }
 
 std::size_t TrafficSockets(std::size_t limit) {
--- a/src/app/socket_budget.h
+++ b/src/app/socket_budget.h
@@ -8,6 +8,9 @@
 
 namespace ryeglade {
 
+// Returns the number of descriptors that a process with these limits may use: fewer than `sockets` if the
+// memory would not suffice for so many connections.
+std::size_t UsableSockets(std::size_t sockets, std::size_t memory_mb);
 // Returns the number of descriptors that serve neither clients nor upstream connections: the event loop,
 // listeners, standard streams, discovery, connections to the management address, and some spare.
 std::size_t ReservedSockets();
--- a/tests/node_parts_test.cpp
+++ b/tests/node_parts_test.cpp
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <vector>
 
+#include "app/socket_budget.h"
 #include "app/termination_policy.h"
 #include "base/file_io.h"
 #include "base/listener.h"
@@ -69,6 +70,19 @@
 
 // No connection may be established between the last accept and the close: it would be reset although its
 // client may have sent a request.
+// Guards against more connections than the memory suffices for, where a deployment allows very many
+// descriptors.
+TEST(SocketBudget, AProcessUsesNoMoreSocketsThanItsMemoryAllows) {
+  constexpr std::size_t kMb = std::size_t{1024} * 1024;
+  constexpr std::size_t kBytesPerConnection = std::size_t{4} * 1024;
+  for (const std::size_t memory_mb : {16, 32, 192, 2048}) {
+    for (const std::size_t sockets : {64, 256, 1024, 65536, 1 << 20}) {
+      EXPECT_LE(UsableSockets(sockets, memory_mb) * kBytesPerConnection, memory_mb * kMb / 4);
+    }
+    EXPECT_EQ(UsableSockets(1024, memory_mb), 1024U);
+  }
+}
+
 TEST(Listener, DropNewConnectionsKeepsEstablishedOnes) {
   uv_loop_t loop;
   uv_loop_init(&loop);
