Give memory back to the system when a process's share shrinks in an upgrade

Cause: the processes share the budget, but what the old one frees stays in its heap (9.9 MB) while its share goes to the new one, and each keeps up to 2 MB of free buffers outside of any count.

Change: BufferPool::SetMaxBytes drops free buffers and calls malloc_trim whenever the share has fallen by an eighth; free buffers are at most a 16th of the budget.

--- a/src/base/buffer_pool.cpp
+++ b/src/base/buffer_pool.cpp
@@ -1,10 +1,26 @@
 #include "base/buffer_pool.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <cstring>
 #include <utility>
 
 namespace ryeglade {
+namespace {
+
+// Free memory goes back to the system when the limit has fallen by one part in so many.
+constexpr std::size_t kTrimShare = 8;
+
+}  // namespace
+
+void BufferPool::SetMaxBytes(std::size_t max_bytes) {
+  max_bytes_ = max_bytes;
+  while (free_.size() > MaxFree()) free_.pop_back();
+  const bool much_lower = max_bytes < trimmed_at_ - trimmed_at_ / kTrimShare;
+  if (much_lower) malloc_trim(0);
+  if (much_lower || max_bytes > trimmed_at_) trimmed_at_ = max_bytes;
+}
 
 char* BufferPool::Acquire() {
   if (!MakeRoomFor(kSize)) return nullptr;
@@ -19,7 +35,7 @@
   --in_use_;
   // Keep only some buffers, so that the memory of a burst is given back.
   std::unique_ptr<char[]> owned(buffer);
-  if (free_.size() < kMaxFree) free_.push_back(std::move(owned));
+  if (free_.size() < MaxFree()) free_.push_back(std::move(owned));
 }
 
 bool BufferPool::Reserve(std::size_t bytes) {
--- a/src/base/buffer_pool.h
+++ b/src/base/buffer_pool.h
@@ -3,6 +3,7 @@
 // fails and the caller rejects the work, so that the node stays within its memory limit.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -19,14 +20,16 @@
  public:
   static constexpr std::size_t kSize = std::size_t{16} * 1024;  // bytes
   static constexpr std::size_t kMaxFree = 128;                  // number of released buffers kept for reuse
-  explicit BufferPool(std::size_t max_bytes) : max_bytes_(max_bytes) {}
+  static constexpr std::size_t kFreeShare = 16;  // but at most one part in so many of the budget
+  explicit BufferPool(std::size_t max_bytes) : max_bytes_(max_bytes), trimmed_at_(max_bytes) {}
 
   // `reclaim` is called when the budget is exhausted. It ends some work that holds memory and can be
   // repeated, and returns false if there is none.
   void AddReclaimer(std::function<bool()> reclaim) { reclaimers_.push_back(std::move(reclaim)); }
 
-  // If the limit is lowered, buffers in use and reservations remain valid.
-  void SetMaxBytes(std::size_t max_bytes) { max_bytes_ = max_bytes; }
+  // If the limit is lowered, buffers in use and reservations remain valid, and what is free goes back to the
+  // system, as another process is about to use it.
+  void SetMaxBytes(std::size_t max_bytes);
   char* Acquire();             // returns nullptr if the budget is exhausted
   void Release(char* buffer);  // takes back a buffer that Acquire returned
   // Counts bytes that are held outside of the pool's buffers. Returns false, and counts nothing, if they
@@ -47,11 +50,13 @@
   bool MakeHeadroom();
 
  private:
+  std::size_t MaxFree() const { return std::min(kMaxFree, max_bytes_ / kFreeShare / kSize); }
   bool HasRoomFor(std::size_t bytes) const { return used_bytes() + bytes <= max_bytes_; }
   bool MakeRoomFor(std::size_t bytes);
   bool Reclaim();
 
   std::size_t max_bytes_;
+  std::size_t trimmed_at_;    // the limit when free memory last went back to the system
   std::size_t in_use_ = 0;    // number of buffers
   std::size_t reserved_ = 0;  // bytes
   std::vector<std::unique_ptr<char[]>> free_;
