Turn down a reloaded file that lacks a key of the file in force

Cause: FindSettingsUpdateError compares the keys inside `settings` only; ReadConfig gives every other missing key its default, and without `discovery` the node goes back to EDGE_DISCOVERY.

Change: the paths and types of all keys are kept with the configuration in force, and a file that lacks one, or has it with another type, is turned down as a whole. What is in lists is left out: classes are compared as before, and the instances of `known` change. A key that a taken file adds is wanted from then on. At the start a key may be missing.

Test operations_reload-incomplete-file takes out each key of a file in turn, in which the class's effect differs too: on the program before the first one, `discovery`, was taken up; now all are counted as turned down.

--- a/src/app/config_reload.cpp
+++ b/src/app/config_reload.cpp
@@ -22,6 +22,8 @@
 ConfigUpdate LoadConfigUpdate(const Config& in_force, const std::string& edge_settings_file) {
   ConfigUpdate update;
   update.loaded = ReloadConfig(in_force);
+  const std::string shape_error = FindShapeError(in_force.shape, update.loaded.shape);
+  if (!shape_error.empty()) throw ConfigError(shape_error);
   update.settings_changed = update.loaded.settings_text != in_force.settings_text;
   if (update.settings_changed) update.class_table = UpdatedClassTable(in_force, update.loaded);
   if (!edge_settings_file.empty()) {
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -375,6 +375,7 @@
       if (!update.needs_restart.empty()) {
         Log(Level::kWarn, "reload-needs-restart", {{"what", update.needs_restart}});
       }
+      config_.shape = update.loaded.shape;
       config_.discovery = update.loaded.discovery;
       discovery_.SwitchAddress(update.loaded.discovery);
       if (update.settings_changed) UpdateSettings(update);
--- a/src/settings/config.cpp
+++ b/src/settings/config.cpp
@@ -84,6 +84,7 @@
   try {
     const json file = json::parse(text);
     Config config;
+    config.shape = ShapeOf(file);
     config.name = file.value("name", "");
     config.listen = file.value("listen", "");
     config.discovery = file.value("discovery", "");
--- a/src/settings/config.h
+++ b/src/settings/config.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "ryeglade/router.h"
+#include "settings/config_shape_model.h"
 
 namespace ryeglade {
 
@@ -30,6 +31,7 @@
   std::size_t memory_mb = 192;  // memory limit of the process in MiB; at least 16
   std::size_t sockets = 1024;   // the maximum number of descriptors of the process; at least 64
   std::string known_endpoints;  // `known`: an endpoint list in discovery's JSON form; empty: none is given
+  ConfigShape shape;            // of the file that was read
   std::string settings_text;    // `settings` of the file, flattened by FlattenSettings
   // `settings.classes` only grows: after a SIGHUP it also holds the earlier versions that open requests use.
   policy::Settings settings;
--- a/tests/operations.cpp
+++ b/tests/operations.cpp
@@ -254,6 +254,75 @@
   setup.node.WriteConfig(good.dump());  // so that the file is valid when the node ends
 }
 
+// Sends SIGHUP with a broken file and waits until the node counts it as the `count`th that it turned down.
+void ExpectTurnedDown(const Node& node, const nlohmann::json& file, int count) {
+  node.WriteConfig(file.dump());
+  node.SendSighup();
+  const std::string expected = "node_reconfig_failed " + std::to_string(count) + "\n";
+  for (int n = 0; !Contains(node.AdminRequest("GET", "/control/counters"), expected); ++n) {
+    assert(n < 1000);
+    usleep(10'000);
+  }
+}
+
+// The paths of all keys of a file, but for those within lists.
+std::vector<nlohmann::json::json_pointer> KeysOf(const nlohmann::json& file) {
+  std::vector<nlohmann::json::json_pointer> keys;
+  const std::function<void(const nlohmann::json::json_pointer&)> add = [&](const auto& at) {
+    for (const auto& [key, value] : file.at(at).items()) {
+      keys.push_back(at / key);
+      if (value.is_object()) add(at / key);
+    }
+  };
+  add(nlohmann::json::json_pointer());
+  return keys;
+}
+
+// Files that lack one key of the file in force. Guards against taking up the rest of such a file: its class
+// docs may be repeated, which that of the file in force may not.
+void ReloadIncompleteFile() {
+  NodeWithOneHost setup;
+  const nlohmann::json good = setup.node.config();
+  nlohmann::json file = good;
+  file["settings"]["classes"][0]["effect"] = "single_shot";
+  int count = 0;
+  for (const auto& key : KeysOf(good)) {
+    nlohmann::json incomplete = file;
+    incomplete.at(key.parent_pointer()).erase(key.back());
+    ExpectTurnedDown(setup.node, incomplete, ++count);
+  }
+  assert(count > 20);
+  assert(Contains(setup.node.AdminRequest("GET", "/control/counters"), "node_reconfig_ok 0\n"));
+  assert(!Contains(setup.node.Log(), "classes-updated"));
+  setup.node.WriteConfig(good.dump());  // so that the file is valid when the node ends
+}
+
+// Files with one value of another type, which in a flat text looks the same. Guards against taking a list or
+// a text for the number in it.
+void ReloadWrongTypes() {
+  NodeWithOneHost setup;
+  const nlohmann::json good = setup.node.config();
+  nlohmann::json file = good;
+  file["settings"]["classes"][0]["effect"] = "single_shot";
+  std::vector<nlohmann::json::json_pointer> keys = KeysOf(good);
+  for (const auto& [key, value] : good["settings"]["classes"][0].items()) {
+    keys.push_back(nlohmann::json::json_pointer("/settings/classes/0") / key);
+  }
+  int count = 0;
+  for (const auto& key : keys) {
+    nlohmann::json in_list = file;
+    in_list[key] = nlohmann::json::array({file.at(key)});
+    if (!file.at(key).is_array()) ExpectTurnedDown(setup.node, in_list, ++count);
+    if (!file.at(key).is_number() && !file.at(key).is_boolean()) continue;
+    nlohmann::json as_text = file;
+    as_text[key] = file.at(key).dump();
+    ExpectTurnedDown(setup.node, as_text, ++count);
+  }
+  assert(count > 30);
+  assert(Contains(setup.node.AdminRequest("GET", "/control/counters"), "node_reconfig_ok 0\n"));
+  setup.node.WriteConfig(good.dump());  // so that the file is valid when the node ends
+}
+
 // Returns an address whose port is free now. Both processes of a node must be configured with the same
 // address, so the kernel can't choose the port when they start.
 std::string FreeAddress() {
@@ -413,6 +482,8 @@
       {"disabled-replicas-pass", DisabledReplicasPassToNextProcess},
       {"invalid-disabled-replicas-file", InvalidDisabledReplicasFile},
       {"reload-settings", ReloadSettings},
+      {"reload-incomplete-file", ReloadIncompleteFile},
+      {"reload-wrong-types", ReloadWrongTypes},
       {"hot-restart", HotRestart},
       {"old-process-resumes", OldProcessResumesAccepting},
       {"hot-restart-without-state", HotRestartWithoutState},
