Turn down configuration values of another type, at the start and at SIGHUP

Cause: the settings are flattened to lines key=value, in which a list of one value, a text and a number look alike, and one reader serves these lines and the simulator's. Numbers of the process's limits were converted without a look.

Change: FindTypeError checks every key that the node reads against the type that it reads, on the file itself and before it is flattened; limits must be whole numbers up to 2^30; idle-close must not be negative. Keys that the node does not read may hold anything, flags 0 and 1 as well.

--- a/src/settings/config.cpp
+++ b/src/settings/config.cpp
@@ -1,6 +1,7 @@
 #include "settings/config.h"
 
 #include <charconv>
+#include <cmath>
 #include <cstdlib>
 #include <fstream>
 #include <iterator>
@@ -15,6 +16,8 @@
 
 using nlohmann::json;
 
+constexpr std::size_t kMaxLimit = std::size_t{1} << 30;  // MiB or descriptors: more than any machine has
+
 // Returns a value as it is written in a line of flattened settings. Spaces, commas and line ends separate
 // values there, so those within a text become underscores.
 std::string FlatValue(const json& value) {
@@ -60,6 +63,19 @@
   return names;
 }
 
+// Reads a limit of the process; `fallback` if the file gives none.
+std::size_t ReadLimit(const json& limits, const char* key, std::size_t fallback) {
+  if (!limits.contains(key)) return fallback;
+  const json& value = limits.at(key);
+  const bool whole =
+      value.is_number_unsigned() || (value.is_number_float() && value == std::floor(value.get<double>()));
+  if (!whole || value < 0 || value > kMaxLimit) {
+    throw ConfigError("limits." + std::string(key) + " is " + value.dump() + "; give a whole number up to " +
+                      std::to_string(kMaxLimit));
+  }
+  return value.get<std::size_t>();
+}
+
 // `seed` is a number, or a text of hexadecimal digits. Returns 0 if it is absent.
 std::uint64_t ReadSeed(const json& file) {
   if (!file.contains("seed")) return 0;
@@ -83,6 +99,8 @@
 Config ReadConfig(const std::string& text) {
   try {
     const json file = json::parse(text);
+    const std::string type_error = FindTypeError(file);
+    if (!type_error.empty()) throw ConfigError(type_error);
     Config config;
     config.shape = ShapeOf(file);
     config.name = file.value("name", "");
@@ -91,8 +109,8 @@
     config.management = file.value("management", "");
     config.seed = ReadSeed(file);
     if (file.contains("limits")) {
-      config.memory_mb = file.at("limits").value("memory_mb", config.memory_mb);
-      config.sockets = file.at("limits").value("sockets", config.sockets);
+      config.memory_mb = ReadLimit(file.at("limits"), "memory_mb", config.memory_mb);
+      config.sockets = ReadLimit(file.at("limits"), "sockets", config.sockets);
     }
     if (config.memory_mb < 16 || config.sockets < 64)
       throw ConfigError("limits are too small: memory_mb is " + std::to_string(config.memory_mb) +
@@ -111,6 +129,11 @@
     if (settings.contains("stats")) config.load_fields = ReadNames(settings.at("stats"), "fields");
     if (settings.contains("limits"))
       config.idle_timeout = settings.at("limits").value("idle-close", config.idle_timeout);
+    if (config.idle_timeout < 0) {
+      throw ConfigError(
+          "settings.limits.idle-close is negative; give "
+          "microseconds");
+    }
     return config;
   } catch (const ConfigError&) {
     throw;
--- a/tests/ryeglade_process.sh
+++ b/tests/ryeglade_process.sh
@@ -67,6 +67,19 @@
 check_invalid "zero connect timeout" limits.connect-timeout '{"name":"a"}' ',"limits":{"connect-timeout":0}'
 check_invalid "negative drain grace" obligations.drain-grace '{"name":"a"}' ',"obligations":{"drain-grace":-1}'
 check_invalid "negative cold" obligations.cold '{"name":"a"}' ',"obligations":{"cold":-1}'
+# Values of another type, which in a flat text look the same as those that the node reads.
+check_invalid "deadline in a list" classes.0.deadline '{"name":"a","deadline":[1]}' ''
+check_invalid "deadline as a text" classes.0.deadline '{"name":"a","deadline":"5000000"}' ''
+check_invalid "name in a list" classes.0.name '{"name":["a"]}' ''
+check_invalid "attempts as a text" limits.max-attempts '{"name":"a"}' ',"limits":{"max-attempts":"3"}'
+check_invalid "flag as a text" limits.cancel '{"name":"a"}' ',"limits":{"cancel":"true"}'
+check_invalid "zones as a text" localities '{"name":"a"}' ',"localities":"z"'
+check_invalid "limits in a list" limits '{"name":"a"}' ',"limits":[{"max-attempts":3}]'
+check_invalid "negative idle time" limits.idle-close '{"name":"a"}' ',"limits":{"idle-close":-1}'
+for limit in -5 1e30 '"64"' 64.5 true; do
+  echo "{\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:9\",\"limits\":{\"memory_mb\":$limit},\"settings\":{\"classes\":[{\"name\":\"a\"}]}}" >"$dir/limit"
+  check "memory_mb $limit" 1 "limit: limits.memory_mb" check-config --config "$dir/limit"
+done
 # Settings that are unusual but valid.
 many=$(for n in $(seq 20); do printf '{"name":"c%s","deadline":%s,"effect":"guarded","dedup-scope":"cell","window":%s},' "$n" "$((n * 200000))" "$n"; done)
 echo "{\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:9\",\"settings\":{\"classes\":[${many%,}],\"unknown\":{\"x\":[1]}}}" >"$dir/many"
