Read the key file before anything of a reload is applied

Cause: Node::ReloadConfiguration read the keys after it had applied the rest.

Change: the keys are loaded first (LoadKeys) and used last (UseKeys), which can't fail.

Test OpenAiFront.AnInvalidKeyFileKeepsAReloadFromChangingAnything: no `reloaded` and no `classes-updated` in the log.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -133,8 +133,9 @@
       admin_front_.Use(admin_listener_.get());
     }
     if (settings_.openai.enabled) {
-      openai_ = std::make_unique<OpenAiService>(&core_, &streams_, &settings_.openai, std::move(files.keys),
-                                                ListenerSockets(TrafficSockets(SocketsOf(config)), settings_));
+      openai_ =
+          std::make_unique<OpenAiService>(&core_, &streams_, &settings_.openai, std::move(files.keys),
+                                          ListenerSockets(TrafficSockets(SocketsOf(config)), settings_));
       shutdown_.AddListener(&openai_->listener());
     }
     if (settings_.timeline.enabled()) AddFlightRecorder();
@@ -368,6 +369,9 @@
   void ReloadConfiguration() {
     try {
       const ConfigUpdate update = LoadConfigUpdate(config_, settings_.source_file);
+      std::optional<keys::Keyring> keys;
+      if (openai_ != nullptr) keys = openai_->front().LoadKeys();
+      // Nothing is applied before all files have been read, and nothing fails from here on.
       Log(Level::kInfo, "reloaded",
           {{"file", config_.source_file},
            {"discovery", update.loaded.discovery},
@@ -379,7 +383,7 @@
       config_.discovery = update.loaded.discovery;
       discovery_.SwitchAddress(update.loaded.discovery);
       if (update.settings_changed) UpdateSettings(update);
-      if (openai_ != nullptr) openai_->ReloadKeys();
+      if (keys) openai_->front().UseKeys(std::move(*keys));
       ++counters_.reloads_applied;
     } catch (const std::exception& e) {
       ++counters_.reloads_failed;
--- a/src/app/openai_service.h
+++ b/src/app/openai_service.h
@@ -23,7 +23,7 @@
                 std::size_t sockets);
   // Begins to accept clients and to write the ledger. Throws std::runtime_error if the address can't be used.
   void Start();
-  void ReloadKeys() { front_.ReloadKeys(); }
+  OpenAiFront& front() { return front_; }
   void WriteLedgerNow();  // blocks until the file is written; for the end of the process
   Downstream& listener() { return listener_; }
   const Downstream& listener() const { return listener_; }
--- a/src/fronts/openai/openai_front.cpp
+++ b/src/fronts/openai/openai_front.cpp
@@ -76,9 +76,12 @@
     id_seed_ ^= random_bits;
 }
 
-void OpenAiFront::ReloadKeys() {
+keys::Keyring OpenAiFront::LoadKeys() const {
+  return settings_->keys_file.empty() ? keyring_ : keys::Keyring::Load(settings_->keys_file);
+}
+
+void OpenAiFront::UseKeys(keys::Keyring loaded) {
   if (settings_->keys_file.empty()) return;
-  keys::Keyring loaded = keys::Keyring::Load(settings_->keys_file);
   std::vector<Handle> revoked;
   for (const auto& [connection, open] : open_requests_) {
     if (loaded.Find(open.key) == nullptr) revoked.push_back(connection);
--- a/src/fronts/openai/openai_front.h
+++ b/src/fronts/openai/openai_front.h
@@ -29,9 +29,10 @@
   OpenAiFront(Core* core, Streams* streams, const OpenAiSettings* settings, keys::Keyring keyring);
   void SetDownstream(Downstream* downstream) { downstream_ = downstream; }
 
-  // Reads the key file again and ends the open requests of revoked keys. Throws SettingsError and changes
-  // nothing if the file is invalid.
-  void ReloadKeys();
+  // Returns the keys of the key file as it is now, or those in force if there is no key file. Throws
+  // SettingsError if the file is invalid.
+  keys::Keyring LoadKeys() const;
+  void UseKeys(keys::Keyring loaded);  // also ends the open requests of revoked keys
   const ledger::Ledger& ledger() const { return ledger_; }
   const limits::RateLimiter& limits() const { return limiter_; }
 
--- a/tests/openai_front_test.cpp
+++ b/tests/openai_front_test.cpp
@@ -340,6 +340,23 @@
   EXPECT_EQ(CountOf(node.Ledger(), ledger::Outcome::kTerminated), 2U);
 }
 
+// A reload finds a valid configuration and an invalid key file. Guards against applying the one before the
+// other has been read.
+TEST(OpenAiFront, AnInvalidKeyFileKeepsAReloadFromChangingAnything) {
+  TestNode node;
+  lab::NodeProcess& process = node.fleet->node();
+  std::ifstream in(process.directory() + "/config.json");
+  json config = json::parse(in);
+  config["settings"]["classes"][0]["effect"] = "single_shot";
+  process.WriteConfig(config.dump());
+  std::ofstream(process.directory() + "/keys.toml") << "[[key]]\nid = 7\n";
+  process.Signal(SIGHUP);
+  EXPECT_TRUE(node.fleet->Until([&] { return process.Log().find("reload-failed") != std::string::npos; },
+                                10'000'000));
+  EXPECT_EQ(process.Log().find("event=reloaded"), std::string::npos);
+  EXPECT_EQ(process.Log().find("classes-updated"), std::string::npos);
+}
+
 // Identical requests of two keys at the same time are two requests, each answered and recorded once.
 TEST(OpenAiFront, IdenticalRequestsOfTwoKeysAreAnsweredSeparately) {
   LocalFleetOptions options;
