Look for unread bytes only behind a request that has others behind it

Cause: the check whether more than 16 KiB wait unread was made for every request of a kept connection, one system call each, although usual clients never pipeline.

Change: only if bytes behind the request have been read already.

--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -411,7 +411,9 @@
     client.keep_alive = false;
     return RejectComplete(handle, "sockets");
   }
-  if (pipelined && client.tcp->HasUnread(kMaxUnread)) return RejectComplete(handle, "pipelined");
+  if (pipelined && !client.input.empty() && client.tcp->HasUnread(kMaxUnread)) {
+    return RejectComplete(handle, "pipelined");
+  }
   HttpRequest request = std::move(client.parser.request());
   front_->OnRequest(handle, std::move(request));
 }
