--- a/tests/node_parts_test.cpp
+++ b/tests/node_parts_test.cpp
@@ -75,8 +75,8 @@
 TEST(SocketBudget, AProcessUsesNoMoreSocketsThanItsMemoryAllows) {
   constexpr std::size_t kMb = std::size_t{1024} * 1024;
   constexpr std::size_t kBytesPerConnection = std::size_t{4} * 1024;
-  for (const std::size_t memory_mb : {16, 32, 192, 2048}) {
-    for (const std::size_t sockets : {64, 256, 1024, 65536, 1 << 20}) {
+  for (const std::size_t memory_mb : std::vector<std::size_t>{16, 32, 192, 2048}) {
+    for (const std::size_t sockets : std::vector<std::size_t>{64, 256, 1024, 65536, 1 << 20}) {
       EXPECT_LE(UsableSockets(sockets, memory_mb) * kBytesPerConnection, memory_mb * kMb / 4);
     }
     EXPECT_EQ(UsableSockets(1024, memory_mb), 1024U);
