Read 64 KiB of a client at once again while nothing of it waits to be parsed

Change: an empty input takes 64 KiB at once unless the budget is half used. A full input still stops reading, and from half of the budget on a connection gets 2 KiB, so the sum stays bounded by the budget as before.

--- a/src/http/client_input.cpp
+++ b/src/http/client_input.cpp
@@ -8,6 +8,8 @@
 // Sizes in bytes.
 constexpr std::size_t kMaxInput = std::size_t{16} * 1024;
 constexpr std::size_t kMaxInputWhenShort = std::size_t{2} * 1024;  // while the memory budget is half used
+constexpr std::size_t kMaxRead =
+    std::size_t{64} * 1024;  // a body in few reads, while nothing waits before it
 constexpr std::size_t kMinRead = std::size_t{2} * 1024;
 
 }  // namespace
@@ -15,6 +17,7 @@
 std::size_t ClientInput::Limit() const { return pool_->HalfUsed() ? kMaxInputWhenShort : kMaxInput; }
 
 std::size_t ClientInput::ReadSize() const {
+  if (empty() && !pool_->HalfUsed()) return kMaxRead;
   const std::size_t limit = Limit();
   return std::max(limit - std::min(limit, bytes().size()), kMinRead);
 }
