Say in log and counters how a replica's stream stood when its attempt ended

For the requests that broke, the operators' excerpts hold no line, as an attempt that counts as served leaves none; so nothing tells a stream that was complete from one that was only ended with the last chunk. Change: StreamEndScanner follows a stream up to its event [DONE] in constant memory; ClassifyStreamEnd names how the stream stands (complete, open, no-event, without-done, data-after-done). It is in attempt-ended (end=), also for an attempt that counts as served and whose stream is not complete, and counted by node_stream_ends{end=}. No decision goes by it yet.

--- a/src/admin/counters.cpp
+++ b/src/admin/counters.cpp
@@ -52,6 +52,9 @@
   Add(failed, static_cast<double>(view.counters->reloads_failed));
   MetricFamily ended = Family("node_attempts_ended", "Attempts that ended, by outcome", MetricType::Counter);
   AddSamples(ended, "outcome", view.counters->attempts_ended);
+  MetricFamily stream_ends = Family(
+      "node_stream_ends", "Streams of model replicas, by how they stood at their end", MetricType::Counter);
+  AddSamples(stream_ends, "end", view.counters->stream_ends);
   MetricFamily given_up = Family(
       "node_given_up", "Requests refused or failed by the decision module, by reason", MetricType::Counter);
   AddSamples(given_up, "why", view.counters->requests_concluded);
@@ -72,7 +75,8 @@
                                "The most of these bytes that the process may hold", MetricType::Gauge);
   Add(budget, static_cast<double>(view.memory_budget));
   return prometheus::TextSerializer().Serialize({success, busy, failure, calls, inflight, listed, down, ok,
-                                                 failed, ended, given_up, guard, closed, used, budget});
+                                                 failed, ended, stream_ends, given_up, guard, closed, used,
+                                                 budget});
 }
 
 }  // namespace ryeglade
--- a/src/core/enum_names.cpp
+++ b/src/core/enum_names.cpp
@@ -8,6 +8,8 @@
 
 constexpr std::array<const char*, 8> kOutcomeNames = {"served",         "error", "full",      "timeout",
                                                       "connect-failed", "reset", "cancelled", "not-sent"};
+constexpr std::array<const char*, static_cast<std::size_t>(StreamEnd::kCount)> kStreamEndNames = {
+    "complete", "open", "no-event", "without-done", "data-after-done"};
 constexpr std::array<const char*, static_cast<std::size_t>(policy::ConclusionReason::kCount)> kReasonNames = {
     "no-patience",  "held-too-long", "no-time-left", "attempts-spent",
     "may-have-run", "retries-spent", "stream-broken"};
@@ -23,5 +25,6 @@
 const char* Name(policy::ConclusionReason reason) {
   return NameAt(kReasonNames, static_cast<std::size_t>(reason));
 }
+const char* Name(StreamEnd end) { return NameAt(kStreamEndNames, static_cast<std::size_t>(end)); }
 
 }  // namespace ryeglade
--- a/src/core/enum_names.h
+++ b/src/core/enum_names.h
@@ -3,11 +3,13 @@
 // version may contain, is "?".
 #pragma once
 
+#include "core/stream_end_model.h"
 #include "ryeglade/router.h"
 
 namespace ryeglade {
 
 const char* Name(policy::Outcome outcome);
 const char* Name(policy::ConclusionReason reason);
+const char* Name(StreamEnd end);
 
 }  // namespace ryeglade
--- a/src/core/node_counters.h
+++ b/src/core/node_counters.h
@@ -31,6 +31,7 @@
   std::uint64_t reloads_applied = 0;             // settings reloads
   std::uint64_t reloads_failed = 0;
   std::map<std::string, std::uint64_t> attempts_ended;  // by outcome (names in core/enum_names.h)
+  std::map<std::string, std::uint64_t> stream_ends;     // streams of replicas, by how they stood at the end
   std::map<std::string, std::uint64_t>
       requests_concluded;              // rejected or failed, by the decision module's reason
   std::uint64_t watchdog_replies = 0;  // requests that the decision module had not answered in time
--- a/src/core/response_parser.h
+++ b/src/core/response_parser.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/dialect.h"
+#include "core/stream_end_model.h"
 
 namespace ryeglade {
 
@@ -32,6 +33,9 @@
   int status() const { return message_.status; }              // 0 until the head is complete
   bool complete() const { return message_.complete; }         // the response has ended
   ResponseReader* reader() { return message_.reader.get(); }  // nullptr until the response begins
+  // Follows the events of a stream; the caller feeds it the body.
+  StreamEndScanner& stream_end_scanner() { return message_.stream_end_scanner; }
+  StreamEnd stream_end() const { return ClassifyStreamEnd(message_.complete, message_.stream_end_scanner); }
   // Whether the connection can be used for another request: the framing marked the end of the response,
   // nothing followed it, and the host keeps the connection open.
   bool reusable() const { return message_.complete && message_.framed && message_.keep_alive; }
@@ -52,6 +56,7 @@
     std::uint64_t chunk_remaining = 0;   // bytes of the current chunk that have not arrived yet
     std::string_view expected_line_end;  // the part of the chunk's line end that has not arrived yet
     std::unique_ptr<ResponseReader> reader;
+    StreamEndScanner stream_end_scanner;
   };
 
   static const http_parser_settings& Callbacks();
--- a/src/core/upstream.cpp
+++ b/src/core/upstream.cpp
@@ -263,6 +263,7 @@
   for (const std::string_view piece : body) {
     response.reader()->OnBody(piece);
     if (!stream) continue;
+    response.stream_end_scanner().Feed(piece);
     const ResponseReader::StreamStatus read = response.reader()->OnStream(piece);
     if (read == ResponseReader::StreamStatus::kInvalid) return false;
     if (read == ResponseReader::StreamStatus::kProgress) *progress = true;
@@ -402,6 +403,7 @@
   requests_.Remove(handle);
   policy::AttemptEnded ended{
       request.stream, request.attempt, request.replica, outcome, Now() - request.sent_at, false, 0, {}};
+  const StreamEnd stream_end = CountStreamEnd(request);
   if (UpstreamConnection* connection = connections_.Find(request.connection)) {
     if (const ResponseReader* reader = connection->response.reader()) {
       const ResponseMetadata metadata = reader->Metadata(request.is_health_check());
@@ -423,8 +425,9 @@
   Stream* stream = core_->responses->Find(request.stream);
   ended.request_concluded =
       stream == nullptr || request.started || request_is_invalid_ || outcome == Outcome::kServed;
-  if (outcome != Outcome::kServed && outcome != Outcome::kCancelled) {
-    LogFailedAttempt(request, outcome, ended.elapsed);
+  const bool served_incomplete = outcome == Outcome::kServed && stream_end != StreamEnd::kComplete;
+  if ((outcome != Outcome::kServed && outcome != Outcome::kCancelled) || served_incomplete) {
+    LogFailedAttempt(request, outcome, stream_end, ended.elapsed);
   }
   if (stream != nullptr) {
     stream->upstream_request = 0;
@@ -439,7 +442,17 @@
   core_->events->Post(std::move(ended));
 }
 
-void Upstream::LogFailedAttempt(const Request& request, Outcome outcome, Time elapsed) const {
+// Returns how the stream of the request stands, and counts it if there is one.
+StreamEnd Upstream::CountStreamEnd(const Request& request) const {
+  const UpstreamConnection* connection = connections_.Find(request.connection);
+  if (connection == nullptr || request.is_health_check() || connection->response.status() != 200)
+    return StreamEnd::kOpen;
+  const StreamEnd end = connection->response.stream_end();
+  if (core_->counters != nullptr) ++core_->counters->stream_ends[Name(end)];
+  return end;
+}
+
+void Upstream::LogFailedAttempt(const Request& request, Outcome outcome, StreamEnd end, Time elapsed) const {
   const Stream* stream = core_->responses->Find(request.stream);
   Log(Level::kWarn, "attempt-ended",
       {{"id", stream != nullptr ? stream->request.call_id.c_str() : "-"},
@@ -447,6 +460,7 @@
        {"replica", Hex8(request.replica)},
        {"outcome", Name(outcome)},
        {"started", request.started ? 1 : 0},
+       {"end", Name(end)},
        {"ms", elapsed / 1000}});
 }
 
--- a/src/core/upstream.h
+++ b/src/core/upstream.h
@@ -89,7 +89,8 @@
   void OnConnectionLost(Handle connection);
   void EndInvalidRequest(Handle request);
   void Finish(Handle request, Outcome outcome);
-  void LogFailedAttempt(const Request& request, Outcome outcome, Time elapsed) const;
+  StreamEnd CountStreamEnd(const Request& request) const;
+  void LogFailedAttempt(const Request& request, Outcome outcome, StreamEnd end, Time elapsed) const;
 
   Core* core_;
   UpstreamHostTable hosts_;
--- a/src/http/event_stream.cpp
+++ b/src/http/event_stream.cpp
@@ -1,23 +1,12 @@
 #include "http/event_stream.h"
 
-#include <cstring>
+#include "http/line_end.h"
 
 namespace ryeglade {
 namespace {
 
 constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
 
-// Returns the offset of the first CR or LF at or after `from`, or npos if there is none.
-std::size_t LineEnd(std::string_view text, std::size_t from) {
-  if (from >= text.size()) return std::string_view::npos;
-  const void* lf = std::memchr(text.data() + from, '\n', text.size() - from);
-  const std::size_t to =
-      lf == nullptr ? text.size() : static_cast<std::size_t>(static_cast<const char*>(lf) - text.data());
-  const void* cr = std::memchr(text.data() + from, '\r', to - from);
-  if (cr != nullptr) return static_cast<std::size_t>(static_cast<const char*>(cr) - text.data());
-  return lf == nullptr ? std::string_view::npos : to;
-}
-
 }  // namespace
 
 void EventStream::BeginBlock() {
@@ -39,7 +28,7 @@
         searched_ = line_;
       }
     }
-    const std::size_t end = LineEnd(block, searched_);
+    const std::size_t end = FindLineEnd(block, searched_);
     if (end == std::string_view::npos) {
       searched_ = block.size();
       return false;
