--- a/tests/scripted_peers.h
+++ b/tests/scripted_peers.h
@@ -74,6 +74,12 @@
     text_.erase(0, at + mark.size());
     return out;
   }
+  // The same, but returns what there is if the connection ends before `mark`.
+  std::string ReadUntilOrEnd(const std::string& mark) {
+    while (text_.find(mark) == std::string::npos && ReadMore()) {
+    }
+    return text_.find(mark) == std::string::npos ? std::exchange(text_, {}) : ReadUntil(mark);
+  }
   std::string ReadBytes(std::size_t n) {
     while (text_.size() < n) assert(ReadMore());
     std::string out = text_.substr(0, n);
@@ -189,8 +195,8 @@
   // `discovery` the address of service discovery, `mode` the setting membership-mode, and
   // `discovery_variable` the value of EDGE_DISCOVERY, which is not set if empty. `sockets` and `memory_mb`
   // are the limits of the process, and `resume` says whether clients resume a stream that ends early.
-  // `extra_settings` are merged into the config file, except for the key "_tmpdir", which is the path of an
-  // existing directory to use as $TMPDIR.
+  // `extra_settings` are merged into the config file, except for the keys "_tmpdir", which is the path of an
+  // existing directory to use as $TMPDIR, and "_toml", the text of a settings file.
   Node(const std::string& program, const nlohmann::json& cached_list, const std::string& discovery,
        const std::string& mode = "push", int sockets = 1024, int memory_mb = 192,
        const std::string& discovery_variable = "", bool resume = false,
@@ -231,6 +237,10 @@
     assert(fd >= 0);
     close(fd);
     config_path_ = name;
+    const std::string toml = config_.value("_toml", "");
+    config_.erase("_toml");
+    const std::string toml_path = tmpdir_ + "/settings.toml";
+    if (!toml.empty()) std::ofstream(toml_path) << toml;
     WriteConfig(config_.dump());
     log_path_ = config_path_ + ".log";
     pid_ = fork();
@@ -242,17 +252,16 @@
       if (!discovery_variable.empty()) setenv("EDGE_DISCOVERY", discovery_variable.c_str(), 1);
       setenv("TMPDIR", tmpdir_.c_str(), 1);
       if (std::freopen(log_path_.c_str(), "w", stderr) == nullptr) _exit(9);
-      execl(program.c_str(), program.c_str(), "serve", "--config", config_path_.c_str(), nullptr);
+      execl(program.c_str(), program.c_str(), "serve", "--config", config_path_.c_str(),
+            toml.empty() ? nullptr : "--settings", toml_path.c_str(), nullptr);
       _exit(9);
     }
-    const std::string event = "listening addr=127.0.0.1:";
-    WaitForLog(event);
-    const std::string log = Log();
-    port_ = std::atoi(log.c_str() + log.find(event) + event.size());
-    const std::string admin = "listening-admin addr=127.0.0.1:";
-    if (log.find(admin) != std::string::npos)
-      admin_port_ = std::atoi(log.c_str() + log.find(admin) + admin.size());
+    WaitForLog("listening addr=");
+    port_ = PortIn("listening");
+    admin_port_ = PortIn("listening-admin");
   }
+  // The port of the OpenAI-style front; 0 if it does not listen.
+  int openai_port() const { return PortIn("listening-openai"); }
   int admin_port() const { return admin_port_; }  // 0: there is no admin listener
   // Sends a request to the admin listener and returns the complete response.
   std::string AdminRequest(const std::string& method, const std::string& path) const {
@@ -269,6 +278,7 @@
     std::remove(log_path_.c_str());
     if (own_tmpdir_) {
       std::remove((tmpdir_ + "/ryeglade-holds-n0").c_str());
+      std::remove((tmpdir_ + "/settings.toml").c_str());
       rmdir(tmpdir_.c_str());
     }
   }
@@ -320,6 +330,12 @@
   long PrivateKb() const { return StatusKb({"RssAnon:", "RssShmem:"}); }
 
  private:
+  // The port that the log line `event` names; 0 if there is no such line.
+  int PortIn(const std::string& event) const {
+    const std::string log = Log(), text = "event=" + event + " addr=127.0.0.1:";
+    const std::size_t at = log.find(text);
+    return at == std::string::npos ? 0 : std::atoi(log.c_str() + at + text.size());
+  }
   // The sum of these fields of the process's status, in KiB.
   long StatusKb(const std::vector<std::string>& fields) const {
     std::ifstream in("/proc/" + std::to_string(pid_) + "/status");
