Serve a stream only if it ends with [DONE]: one place decides for all dialects

Cause: the platform's dialect took each 200 with one event and a body ended by its framing for served. Class: the end of the framing taken for the end of the content. Change: ClassifyStreamEnd (core/stream_end_model.h) decides for both dialects, and all that serves asks it. Complete is a stream whose framing marked the body's end and whose last event is [DONE]; comments may follow, data may not. If a response ends incomplete before anything was passed on, it is a failed attempt, which may be retried. Token counts of the prompt cache are learned from complete streams only. A platform stream begins with its first event with data, at any line end. A usage event is not asked for: what precedes [DONE] can't be missing by a break.

--- a/src/core/dialect.h
+++ b/src/core/dialect.h
@@ -15,7 +15,7 @@
 
 struct StreamRequest;
 
-// How a complete response is classified.
+// How a complete response that is no stream is classified.
 struct ResponseResult {
   policy::Outcome outcome = policy::Outcome::kError;
   // The request itself is invalid: status and body go to the client, and it is not retried at another host.
@@ -45,8 +45,8 @@
   // called with the same bytes.
   virtual void OnBody(std::string_view bytes) = 0;
   virtual StreamStatus OnStream(std::string_view bytes) = 0;
-  virtual bool has_event() const = 0;  // whether a complete event has been received
-  // Called once the response is complete. A response to a health check has no events.
+  // Called once the response to a health check, or one with another status than 200, is complete. Whether a
+  // stream is complete is decided by ClassifyStreamEnd for all dialects.
   virtual ResponseResult Result(int status, bool health_check) const = 0;
   // What has been read so far; may be called at any time.
   virtual ResponseMetadata Metadata(bool health_check) const = 0;
--- a/src/core/upstream.cpp
+++ b/src/core/upstream.cpp
@@ -242,6 +242,11 @@
   bool progress = false;
   if (!ReadBody(request, connection->response, body, &progress))
     return Finish(request_handle, Outcome::kReset);
+  if (!request.started && EndsIncomplete(request, connection->response)) {
+    // Nothing of it is passed on, so that the request may still be retried.
+    OnResponseComplete(request_handle, connection->response);
+    return;
+  }
   if (!request.started && !request.is_health_check()) {
     AwaitFirstEvent(request_handle, *connection, body);
   } else if (!ReserveResponse(*connection)) {
@@ -264,6 +269,7 @@
     response.reader()->OnBody(piece);
     if (!stream) continue;
     response.stream_end_scanner().Feed(piece);
+    if (response.stream_end() == StreamEnd::kDataAfterDone) return false;
     const ResponseReader::StreamStatus read = response.reader()->OnStream(piece);
     if (read == ResponseReader::StreamStatus::kInvalid) return false;
     if (read == ResponseReader::StreamStatus::kProgress) *progress = true;
@@ -290,7 +296,7 @@
   for (const std::string_view piece : body) connection.buffered_body.append(piece);
   if (connection.buffered_body.size() > ResponseParser::kMaxChunkBytes || !ReserveResponse(connection))
     return Finish(handle, Outcome::kReset);
-  if (connection.response.reader()->has_event() && connection.response.at_chunk_boundary())
+  if (connection.response.stream_end_scanner().has_event() && connection.response.at_chunk_boundary())
     StartStream(handle, connection);
 }
 
@@ -323,8 +329,18 @@
   }
 }
 
+// Returns whether the response is a stream whose body has ended before the stream was complete.
+bool Upstream::EndsIncomplete(const Request& request, const ResponseParser& response) {
+  return !request.is_health_check() && response.status() == 200 && response.complete() &&
+         response.stream_end() != StreamEnd::kComplete;
+}
+
 void Upstream::OnResponseComplete(Handle handle, ResponseParser& response) {
   const Request& request = *requests_.Get(handle);
+  if (EndsIncomplete(request, response)) {
+    const bool has_event = response.stream_end_scanner().has_event();
+    return Finish(handle, has_event ? Outcome::kReset : Outcome::kError);
+  }
   const ResponseResult result = response.reader()->Result(response.status(), request.is_health_check());
   const bool never_started = !request.is_health_check() && !request.started;
   if (never_started && result.client_fault) return EndInvalidRequest(handle);
@@ -333,8 +349,7 @@
       stream->retry_after = std::max(stream->retry_after, result.retry_after);
     }
   }
-  const bool served_nothing = never_started && result.outcome == Outcome::kServed;
-  Finish(handle, served_nothing ? Outcome::kError : result.outcome);
+  Finish(handle, response.status() == 200 ? Outcome::kServed : result.outcome);
 }
 
 void Upstream::SetPaused(Handle handle, bool paused) {
@@ -407,7 +422,7 @@
   if (UpstreamConnection* connection = connections_.Find(request.connection)) {
     if (const ResponseReader* reader = connection->response.reader()) {
       const ResponseMetadata metadata = reader->Metadata(request.is_health_check());
-      ended.cached_tokens = metadata.cached_tokens;
+      if (outcome == Outcome::kServed) ended.cached_tokens = metadata.cached_tokens;
       ended.load_report = ParseLoadReport(metadata.load_report, core_->config->load_fields);
     }
     if (connection->response.reusable() && connection->tcp->unsent() == 0) {
@@ -425,8 +440,7 @@
   Stream* stream = core_->responses->Find(request.stream);
   ended.request_concluded =
       stream == nullptr || request.started || request_is_invalid_ || outcome == Outcome::kServed;
-  const bool served_incomplete = outcome == Outcome::kServed && stream_end != StreamEnd::kComplete;
-  if ((outcome != Outcome::kServed && outcome != Outcome::kCancelled) || served_incomplete) {
+  if (outcome != Outcome::kServed && outcome != Outcome::kCancelled) {
     LogFailedAttempt(request, outcome, stream_end, ended.elapsed);
   }
   if (stream != nullptr) {
--- a/src/core/upstream.h
+++ b/src/core/upstream.h
@@ -83,6 +83,7 @@
   static bool ReserveResponse(UpstreamConnection& connection);
   void StartStream(Handle request, UpstreamConnection& connection);
   void ForwardBody(Handle request, const std::vector<std::string_view>& body, bool progress);
+  static bool EndsIncomplete(const Request& request, const ResponseParser& response);
   void OnResponseComplete(Handle request, ResponseParser& response);
   void CheckIdle(Handle request);
 
--- a/src/dialects/openai/openai_dialect.cpp
+++ b/src/dialects/openai/openai_dialect.cpp
@@ -78,8 +78,6 @@
     const bool valid = events_.Feed(bytes, [&](const EventStream::Event& event) {
       if (!event.has_data) return true;
       if (event.type == "error" || ReportsError(event.data)) return false;
-      if (done_) return false;  // nothing may follow [DONE]
-      done_ = event.data == "[DONE]";
       progress = true;
       has_event_ = true;
       if (const auto cached = FindLastNumber(event.data, "\"cached_tokens\"")) {
@@ -94,14 +92,8 @@
     return progress ? StreamStatus::kProgress : StreamStatus::kKeepAlive;
   }
 
-  bool has_event() const override { return has_event_; }
-
   ResponseResult Result(int status, bool health_check) const override {
     if (health_check) return {HealthOutcome(status)};
-    if (status == 200) {
-      if (!has_event_) return {Outcome::kError};
-      return {done_ ? Outcome::kServed : Outcome::kReset};
-    }
     // A 503 may also come from an intermediary that lost its connection to the engine while the request was
     // running. It counts as a rejection only if it says when to retry.
     if (status == 429 || (status == 503 && retry_after_ > 0))
@@ -122,7 +114,6 @@
  private:
   EventStream events_{kMaxEventBytes};
   bool has_event_ = false;  // an event that is no error has been received
-  bool done_ = false;       // [DONE] has been received
   double cached_tokens_ = 0;
   Time retry_after_ = 0;  // from the headers, microseconds; 0 if there is none
   std::string load_report_;
--- a/src/dialects/openai/openai_dialect.h
+++ b/src/dialects/openai/openai_dialect.h
@@ -1,8 +1,7 @@
 // The OpenAI-style API of model servers such as vLLM. 429, and 503 with a Retry-After, mean that the request
 // was rejected before it ran; 400, 404, 413 and 422 that the request is invalid; with any other error status
-// the attempt failed and may have run. A stream is complete only if both `[DONE]` and the last chunk have
-// arrived. An event that contains an error makes the stream invalid. Comments keep it alive but are not
-// progress.
+// the attempt failed and may have run. An event that contains an error makes the stream invalid. Comments
+// keep it alive but are not progress.
 #pragma once
 
 #include <string>
--- a/src/dialects/platform/platform_dialect.cpp
+++ b/src/dialects/platform/platform_dialect.cpp
@@ -12,7 +12,6 @@
 
 using policy::Outcome;
 
-constexpr std::size_t kMaxFirstEventBytes = std::size_t{256} * 1024;  // before the first event is complete
 constexpr std::size_t kTailBytes = 512;  // enough for the usage line and the load report at a stream's end
 
 // Reads the response of one of the platform's replicas.
@@ -28,23 +27,15 @@
     if (tail_.size() > 2 * kTailBytes) tail_.erase(0, tail_.size() - kTailBytes);
   }
 
-  // A stream has started once it has a complete event, so that garbage is not taken for a stream. Nothing is
-  // passed on before that, so the request can still be retried at another host.
+  // Garbage is not taken for a stream: its first bytes must begin a line of an event.
   StreamStatus OnStream(std::string_view bytes) override {
-    if (has_event_) return StreamStatus::kProgress;
-    first_event_.append(bytes);
-    if (first_event_.size() > kMaxFirstEventBytes || !BeginsLikeAnEvent()) return StreamStatus::kInvalid;
-    has_event_ =
-        first_event_.find("\n\n") != std::string::npos || first_event_.find("\r\n\r\n") != std::string::npos;
-    if (has_event_) first_event_ = {};
-    return StreamStatus::kProgress;
+    const std::size_t missing = kLongestLineStart - std::min(kLongestLineStart, stream_start_.size());
+    stream_start_.append(bytes.substr(0, missing));
+    return BeginsLikeAnEvent() ? StreamStatus::kProgress : StreamStatus::kInvalid;
   }
 
-  bool has_event() const override { return has_event_; }
-  std::size_t held_bytes() const override { return first_event_.capacity(); }
-
   ResponseResult Result(int status, bool health_check) const override {
-    if (status == 200) return {health_check || has_event_ ? Outcome::kServed : Outcome::kError};
+    if (health_check && status == 200) return {Outcome::kServed};
     const bool rejected_before_running = (status == 503 || status == 504) && rejected_;
     const bool at_capacity = rejected_before_running || (health_check && status == 503);
     return {at_capacity ? Outcome::kAtCapacity : Outcome::kError};
@@ -67,16 +58,17 @@
   bool BeginsLikeAnEvent() const {
     static constexpr std::string_view kLineStarts[] = {":", "data:", "event:", "id:", "retry:"};
     return std::any_of(std::begin(kLineStarts), std::end(kLineStarts), [&](std::string_view start) {
-      const std::size_t n = std::min(start.size(), first_event_.size());
-      return std::string_view(first_event_).substr(0, n) == start.substr(0, n);
+      const std::size_t n = std::min(start.size(), stream_start_.size());
+      return std::string_view(stream_start_).substr(0, n) == start.substr(0, n);
     });
   }
 
-  bool rejected_ = false;  // X-Rejected: 1
-  bool has_event_ = false;
-  std::string load_report_;  // from the response head
-  std::string first_event_;  // bytes received before the first event was complete
-  std::string tail_;         // the last bytes of the body so far
+  static constexpr std::size_t kLongestLineStart = std::string_view("event:").size();
+
+  bool rejected_ = false;     // X-Rejected: 1
+  std::string load_report_;   // from the response head
+  std::string stream_start_;  // the first bytes of a stream
+  std::string tail_;          // the last bytes of the body so far
 };
 
 }  // namespace
--- a/src/dialects/platform/platform_dialect.h
+++ b/src/dialects/platform/platform_dialect.h
@@ -1,6 +1,5 @@
 // The protocol of the platform's model replicas. A 503 or 504 with `X-Rejected: 1` means that the request was
-// rejected before it ran; with any other error status the attempt failed and may have run. A response with
-// status 200, except to a health check, must contain a complete event.
+// rejected before it ran; with any other error status the attempt failed and may have run.
 #pragma once
 
 #include "core/dialect.h"
--- a/tests/event_delay.cpp
+++ b/tests/event_delay.cpp
@@ -72,7 +72,7 @@
     }
   }
   for (RunningStream& stream : streams) {
-    stream.host.SendChunk("");
+    stream.host.EndStream();
     stream.client.ReadUntil("0\r\n\r\n");
   }
   assert(node.WaitForExit() == 0);
--- a/tests/event_stream_test.cpp
+++ b/tests/event_stream_test.cpp
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "http/stream_end_scanner.h"
+
 namespace ryeglade {
 namespace {
 
@@ -101,5 +103,41 @@
   }
 }
 
+// [DONE] ends a stream only as the data of a complete event, wherever the stream is cut.
+TEST(StreamEndScanner, DoneIsSeenInEveryLineEndAndPiece) {
+  struct Row {
+    std::string text;
+    bool done, data_after;
+  };
+  const std::vector<Row> rows = {
+      {"data: a\n\ndata: [DONE]\n\n", true, false},
+      {"data:[DONE]\n\n", true, false},
+      {"data: a\ndata: [DONE]\n\n", true, false},
+      {"data: [DONE]\n: comment\n\n: another\n: unfinish", true, false},
+      {"data: [DONE]\nevent: end\n\nid: 1\n\n", true, false},
+      {"data: [DONE]\n", false, false},
+      {"data: [DONE]", false, false},
+      {"data: [DONE] \n\n", false, false},
+      {"data:  [DONE]\n\n", false, false},
+      {" data: [DONE]\n\n", false, false},
+      {": data: [DONE]\n\n", false, false},
+      {"data: [DONE]\ndata: a\n\n", false, false},
+      {"data: [DONE]\n\ndata: a\n\n", true, true},
+      {"data: [DONE]\n\ndata:", true, true},
+  };
+  for (const Row& row : rows) {
+    for (const std::string end : {"\n", "\r\n", "\r"}) {
+      const std::string text = WithLineEnds(row.text, end);
+      for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+        StreamEndScanner scanner;
+        scanner.Feed(text.substr(0, cut));
+        scanner.Feed(text.substr(cut));
+        EXPECT_EQ(scanner.done(), row.done) << text << " cut at " << cut;
+        EXPECT_EQ(scanner.data_after_done(), row.data_after) << text << " cut at " << cut;
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace ryeglade
--- a/tests/fault_injection.cpp
+++ b/tests/fault_injection.cpp
@@ -101,7 +101,7 @@
   node.WaitForLog("draining");
   upstream.Send(kStreamHead);
   upstream.SendChunk("data: x\n\n");
-  upstream.SendChunk("");
+  upstream.EndStream();
   const std::string all = client.ReadToEnd();
   assert(Contains(all, "data: x") && Contains(all, "0\r\n\r\nHTTP/1.1 503"));
   assert(all.find(" 503 ") != all.rfind(" 503 ") && Contains(all, "Connection: close"));
@@ -247,7 +247,7 @@
   usleep(50'000);  // the process must have left its wait for sockets before the answer arrives
   upstream.Send(kStreamHead);
   upstream.SendChunk("data: x\n\n");
-  upstream.SendChunk("");
+  upstream.EndStream();
   usleep(1'000'000);
   node.Resume();
   assert(Contains(client.ReadUntil("0\r\n\r\n"), "data: x"));
--- a/tests/greedy_peers.cpp
+++ b/tests/greedy_peers.cpp
@@ -81,7 +81,7 @@
     if (head == std::string::npos) return true;
     if (peer.text.size() < head + 4 + std::stoul(peer.text.substr(length + 16))) return true;
     peer.text.clear();
-    const std::string answer = kStreamHead + "9\r\ndata: x\n\n\r\n0\r\n\r\n";
+    const std::string answer = kStreamHead + "9\r\ndata: x\n\n\r\n" + kStreamEnd;
     return send(peer.connection.fd(), answer.data(), answer.size(), MSG_NOSIGNAL) > 0;
   }
 
--- a/tests/operations.cpp
+++ b/tests/operations.cpp
@@ -207,7 +207,7 @@
     agent_only["classes"][0]["effect"] = "free";
     setup.node.Reload("settings", agent_only);
     setup.node.WaitForLog("event=classes-updated classes=1 versions=3 attempts=2");
-    upstream.SendChunk("");
+    upstream.EndStream();
     // The response is complete, and counted under the class that the request arrived with.
     client.ReadUntil("0\r\n\r\n");
   }
@@ -389,12 +389,12 @@
     served.Send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n" +
                 kStreamHead.substr(kStreamHead.find("Transfer-Encoding")));
     served.SendChunk("data: x\n\n");
-    served.SendChunk("");
+    served.EndStream();
     client.ReadUntil("0\r\n\r\n");
   }
   assert(Contains(new_process->AdminRequest("GET", "/control/counters"), "node_success{tier=\"docs\"} 20\n"));
   upstream.SendChunk("data: y\n\n");
-  upstream.SendChunk("");
+  upstream.EndStream();
   running.ReadUntil("0\r\n\r\n");  // the stream of the old process runs to its end
   old_process->SendSigterm();
   assert(old_process->WaitForExit() == 0);
--- a/tests/races.cpp
+++ b/tests/races.cpp
@@ -112,7 +112,7 @@
   upstream.ReadMessage();
   upstream.Send(kStreamHead);
   upstream.SendChunk("data: x\n\n");
-  upstream.SendChunk("");
+  upstream.EndStream();
   client.ReadUntil("0\r\n\r\n");
   usleep(50'000);
   node.Suspend();
@@ -240,7 +240,7 @@
   node.SendSigterm();
   node.WaitForLog("draining-already");
   upstream.SendChunk("data: y\n\n");
-  upstream.SendChunk("");
+  upstream.EndStream();
   assert(Contains(client.ReadUntil("0\r\n\r\n"), "data: y"));
   assert(node.WaitForExit() == 0);
 }
--- a/tests/request_lifecycle.cpp
+++ b/tests/request_lifecycle.cpp
@@ -106,7 +106,7 @@
     assert(body == std::string(200'000, 'p'));
     two.Send(kStreamHead);
     two.SendChunk("data: y\n\n");
-    two.SendChunk("");
+    two.EndStream();
     assert(Contains(client.ReadUntil("0\r\n\r\n"), "data: y"));
   }
 }
@@ -140,14 +140,14 @@
   usleep(50'000);
   if (!host.ReadableWithin(2'000)) host = setup.host.Accept();
   host.ReadMessage();
-  const std::string response = kStreamHead + "9\r\ndata: a\n\n\r\n0\r\n\r\n";
+  const std::string response = kStreamHead + "9\r\ndata: a\n\n\r\n" + kStreamEnd;
   host.Send(response);
   assert(Contains(client.ReadUntil("0\r\n\r\n"), "data: a"));
   usleep(50'000);
   setup.node.Suspend();
   client.Send(RequestText("2"));
   usleep(20'000);
-  host.Send(kStreamHead + "9\r\ndata: 9\n\n\r\n0\r\n\r\n");
+  host.Send(kStreamHead + "9\r\ndata: 9\n\n\r\n" + kStreamEnd);
   setup.node.Resume();
   Connection other = setup.host.Accept();
   other.ReadMessage();
@@ -288,12 +288,12 @@
   other.ReadMessage();
   other.Send(kStreamHead);
   other.SendChunk("data: b\n\n");
-  other.SendChunk("");
+  other.EndStream();
   const std::string response = late.ReadUntil("0\r\n\r\n");
   assert(Contains(response, "Connection: close") && Contains(response, "data: b"));
   usleep(1'500'000);  // longer than the node would have run without an open stream
   host.SendChunk("data: c\n\n");
-  host.SendChunk("");
+  host.EndStream();
   assert(Contains(running.ReadUntil("0\r\n\r\n"), "data: c"));
   assert(setup.node.WaitForExit() == 0);
 
@@ -359,7 +359,7 @@
   upstream.ReadMessage();
   upstream.Send(kStreamHead);
   upstream.SendChunk("data: z\n\n");
-  upstream.SendChunk("");
+  upstream.EndStream();
   client.ReadUntil("0\r\n\r\n");
 }
 
@@ -470,16 +470,21 @@
   for (pollfd p{host.fd(), POLLOUT, 0}; sent < 4000 && poll(&p, 1, 500) == 1; ++sent) host.SendChunk(event);
   assert(sent < 4000);                                // the node stopped reading
   assert(setup.node.ResidentKb() - before < 64'000);  // half of all the data that could have been sent
-  host.SendChunk("");
+  host.EndStream();
   client.ReadUntil("\r\n\r\n");
+  const std::string done = "data: [DONE]\n\n";
+  const std::size_t total = sent * event.size();
   std::size_t got = 0;
   for (std::size_t size = 1; size > 0; got += size) {  // the node may split the data into other chunks
     size = std::stoul(client.ReadUntil("\r\n"), nullptr, 16);
     const std::string text = client.ReadBytes(size);
-    for (std::size_t i = 0; i < size; ++i) assert(text[i] == event[(got + i) % event.size()]);
+    for (std::size_t i = 0; i < size; ++i) {
+      const std::size_t at = got + i;
+      assert(text[i] == (at < total ? event[at % event.size()] : done.at(at - total)));
+    }
     assert(client.ReadBytes(2) == "\r\n");
   }
-  assert(got == sent * event.size());
+  assert(got == total + done.size());
 }
 
 // More requests than the node has sockets or memory for: those over the limit are rejected with a
--- a/tests/scripted_peers.h
+++ b/tests/scripted_peers.h
@@ -60,6 +60,11 @@
     std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
     Send(size + bytes + "\r\n");
   }
+  // Sends the last event of a stream and the last chunk.
+  void EndStream() {
+    SendChunk("data: [DONE]\n\n");
+    SendChunk("");
+  }
   // Returns true if the socket has bytes or the end of the connection to read within `ms` milliseconds. What
   // the buffer holds does not count.
   bool ReadableWithin(int ms) const {
@@ -369,6 +374,9 @@
 inline const std::string kStreamHead =
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+// The last event of a stream, and the last chunk.
+inline const std::string kStreamEnd = "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n";
+
 inline bool Contains(const std::string& text, const std::string& part) {
   return text.find(part) != std::string::npos;
 }
@@ -403,7 +411,7 @@
   assert(Contains(upstream.ReadMessage(), "X-Call-Id: " + id));
   upstream.Send(kStreamHead);
   upstream.SendChunk("data: x\n\n");
-  upstream.SendChunk("");
+  upstream.EndStream();
   assert(Contains(client.ReadUntil("0\r\n\r\n"), "data: x"));
 }
 
