Write nothing more on a connection after a write that found no memory

Cause: Tcp::Write fails without storing anything if the buffer pool is exhausted, and Downstream closes the connection only in the next loop iteration, as it may be in the middle of passing events on. Until then a later write could succeed: with memory free again, the last chunk went out behind a missing event, and the client got a stream as complete that was not. Change: a failed write is remembered; all later ones fail too.

--- a/src/base/tcp.cpp
+++ b/src/base/tcp.cpp
@@ -97,7 +97,12 @@
 }
 
 bool Tcp::Write(std::initializer_list<std::string_view> parts) {
-  if (closing_) return false;
+  if (closing_ || write_failed_) return false;
+  write_failed_ = !WriteOrQueue(parts);
+  return !write_failed_;
+}
+
+bool Tcp::WriteOrQueue(std::initializer_list<std::string_view> parts) {
   std::size_t written = 0;
   if (unsent() == 0) {
     std::vector<uv_buf_t> bufs;
--- a/src/base/tcp.h
+++ b/src/base/tcp.h
@@ -49,7 +49,8 @@
   void StartReading();
   void StopReading() { uv_read_stop(stream()); }
   // Writes at once what the kernel takes and queues the rest. Returns false if the connection is broken or
-  // the buffer pool is exhausted; the owner should then close the connection.
+  // the buffer pool is exhausted; the owner should then close the connection. All later writes fail too, as
+  // bytes are missing before theirs.
   bool Write(std::string_view bytes) { return Write({bytes}); }
   bool Write(std::initializer_list<std::string_view> parts);
   // Number of bytes that the kernel has not taken yet. libuv's queue size is used because `sending_` can
@@ -70,6 +71,7 @@
       : pool_(pool), owner_(owner), handle_(handle), sending_(pool), queued_(pool) {}
   uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&tcp_); }
   const uv_stream_t* stream() const { return reinterpret_cast<const uv_stream_t*>(&tcp_); }
+  bool WriteOrQueue(std::initializer_list<std::string_view> parts);
   bool Send();
 
   uv_tcp_t tcp_{};
@@ -81,6 +83,7 @@
   Handle handle_;
   BufferChain sending_;  // passed to libuv
   BufferChain queued_;   // written while `sending_` is in progress
+  bool write_failed_ = false;
   bool closing_ = false;
 };
 
--- a/tests/node_parts_test.cpp
+++ b/tests/node_parts_test.cpp
@@ -233,6 +233,29 @@
   EXPECT_EQ(uv_loop_close(&loop), 0);
 }
 
+// A chunk that found no memory must not be followed by the last chunk, as if the stream were complete.
+TEST(Tcp, NothingIsWrittenBehindAWriteThatFailed) {
+  uv_loop_t loop;
+  ASSERT_EQ(uv_loop_init(&loop), 0);
+  BufferPool pool(std::size_t{64} << 20);
+  NoOwner owner;
+  int pair[2] = {-1, -1};
+  ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, pair), 0);
+  Tcp* tcp = Tcp::New(&loop, &pool, &owner, 1);
+  ASSERT_TRUE(tcp->Open(pair[0]));
+  ASSERT_TRUE(tcp->Write(std::string(std::size_t{8} << 20, 'x')));
+  {
+    MemoryReservation others(&pool);
+    ASSERT_TRUE(others.Resize(pool.max_bytes() - pool.used_bytes()));
+    EXPECT_FALSE(tcp->Write("an event"));
+  }
+  EXPECT_FALSE(tcp->Write("0\r\n\r\n"));
+  tcp->Close();
+  uv_run(&loop, UV_RUN_DEFAULT);
+  close(pair[1]);
+  EXPECT_EQ(uv_loop_close(&loop), 0);
+}
+
 // ---- Objects in the text of a discovery watch ----
 
 using Found = JsonObjectReader::Found;
