Use a load report at a stream's end only once its line has ended

Cause: PlatformDialect took what it had of ': X-Load-Report: ...' also where the stream broke off within the line, so that queue=12 could be learned as queue=1; with CRLF the value also held the CR. Result: PlatformDialect.AnUnfinishedLoadReportIsNotUsed failed before (both values) and passes now.

--- a/src/dialects/platform/platform_dialect.cpp
+++ b/src/dialects/platform/platform_dialect.cpp
@@ -46,10 +46,9 @@
     // A comment line of the stream. Generated text cannot match, because it contains no unescaped line break.
     static constexpr std::string_view kComment = "\n: X-Load-Report:";
     const std::size_t at = tail_.rfind(kComment);
-    if (at != std::string::npos) {
-      const std::size_t from = at + kComment.size();
-      metadata.load_report = tail_.substr(from, tail_.find('\n', from) - from);
-    }
+    const std::size_t from = at + kComment.size();
+    const std::size_t to = at == std::string::npos ? at : tail_.find_first_of("\r\n", from);
+    if (to != std::string::npos) metadata.load_report = tail_.substr(from, to - from);
     if (health_check && metadata.load_report.empty()) metadata.load_report = tail_;
     return metadata;
   }
--- a/tests/node_parts_test.cpp
+++ b/tests/node_parts_test.cpp
@@ -21,6 +21,7 @@
 #include "core/json_object_reader_model.h"
 #include "core/replica_incarnations_model.h"
 #include "dialects/openai/openai_dialect.h"
+#include "dialects/platform/platform_dialect.h"
 #include "http/arrival_log.h"
 #include "http/end_to_end_fields_model.h"
 
@@ -256,6 +257,15 @@
   EXPECT_EQ(uv_loop_close(&loop), 0);
 }
 
+// A stream that breaks off within its load report must not leave a number that lacks digits.
+TEST(PlatformDialect, AnUnfinishedLoadReportIsNotUsed) {
+  const auto reader = PlatformDialect(true).NewReader();
+  reader->OnBody("data: x\r\n\r\n: X-Load-Report: queue=1");
+  EXPECT_EQ(reader->Metadata(false).load_report, "");
+  reader->OnBody("2\r\n");
+  EXPECT_EQ(reader->Metadata(false).load_report, " queue=12");
+}
+
 // ---- Objects in the text of a discovery watch ----
 
 using Found = JsonObjectReader::Found;
