--- a/src/core/upstream.cpp
+++ b/src/core/upstream.cpp
@@ -19,6 +19,9 @@
 constexpr Time kFirstEventTimeout = 1'000'000;  // from a response's first byte to its first complete event
 constexpr Time kConnectRetryDelay = 20'000;     // after this machine could not open a connection
 
+// A buffer that grows is copied: for a moment, and in the heap's gaps, it takes up to twice its size.
+constexpr std::size_t kGrowthFactor = 2;
+
 }  // namespace
 
 // ---- Hosts ----
@@ -304,7 +307,8 @@
 bool Upstream::ReserveResponse(UpstreamConnection& connection) {
   const ResponseReader* reader = connection.response.reader();
   const std::size_t held_by_reader = reader != nullptr ? reader->held_bytes() : 0;
-  return connection.response_memory->Resize(connection.buffered_body.capacity() + held_by_reader);
+  return connection.response_memory->Resize(connection.buffered_body.capacity() * kGrowthFactor +
+                                            held_by_reader);
 }
 
 void Upstream::StartStream(Handle handle, UpstreamConnection& connection) {
