Give up a response whose first event is due only after 1 s without bytes

Cause: kFirstEventTimeout counted from the first byte. Change: it counts from the last one; the client's time and 256 KiB bound it as before.

--- a/src/core/upstream.cpp
+++ b/src/core/upstream.cpp
@@ -16,7 +16,7 @@
 // Microseconds.
 constexpr Time kIdleTimeout = 4'000'000;  // a stream without progress for longer is broken; clients wait 5 s
 constexpr Time kHealthCheckTimeout = 1'000'000;
-constexpr Time kFirstEventTimeout = 1'000'000;  // from a response's first byte to its first complete event
+constexpr Time kFirstEventTimeout = 1'000'000;  // without further bytes of a response whose first event is due
 constexpr Time kConnectRetryDelay = 20'000;     // after this machine could not open a connection
 
 // A buffer that grows is copied: for a moment, and in the heap's gaps, it takes up to twice its size.
@@ -281,8 +281,8 @@
 }
 
 // Waits for the first complete event. Nothing is passed on before it, so that the request can still be
-// retried at another host. Where hosts send the head together with the first event, that event must follow
-// within kFirstEventTimeout.
+// retried at another host. Where hosts send the head together with the first event, no more than
+// kFirstEventTimeout may pass without further bytes of them; the host may write them slowly.
 void Upstream::AwaitFirstEvent(Handle handle, UpstreamConnection& connection,
                                const std::vector<std::string_view>& body) {
   Request& request = *requests_.Get(handle);
@@ -291,9 +291,9 @@
   if (status >= 100 && status < 200) {  // not the final response
     connection.first_byte_at = 0;
     SetDeadline(handle, request.response_deadline);
-  } else if (connection.first_byte_at == 0 && core_->dialect->SendsHeadWithFirstEvent()) {
-    connection.first_byte_at = Now();
-    SetDeadline(handle, std::min(request.response_deadline, connection.first_byte_at + kFirstEventTimeout));
+  } else if (core_->dialect->SendsHeadWithFirstEvent()) {
+    if (connection.first_byte_at == 0) connection.first_byte_at = request.last_byte_at;
+    SetDeadline(handle, std::min(request.response_deadline, request.last_byte_at + kFirstEventTimeout));
   }
   if (status != 200) return;
   for (const std::string_view piece : body) connection.buffered_body.append(piece);
