Reset a replica's connection if a request that is given up is not yet delivered

Change: ConnectionPool::Close resets a connection in use whose peer has not acknowledged all (SIOCOUTQ), which drops what the kernel holds.

--- a/src/base/tcp.cpp
+++ b/src/base/tcp.cpp
@@ -1,6 +1,8 @@
 #include "base/tcp.h"
 
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -165,6 +167,13 @@
   setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
 }
 
+bool Tcp::Delivered() const {
+  uv_os_fd_t fd = -1;
+  int bytes = 0;
+  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &fd) != 0) return true;
+  return unsent() == 0 && (ioctl(fd, SIOCOUTQ, &bytes) != 0 || bytes == 0);
+}
+
 bool Tcp::NothingToRead() const {
   uv_os_fd_t fd = -1;
   char byte = 0;
--- a/src/base/tcp.h
+++ b/src/base/tcp.h
@@ -60,6 +60,7 @@
   sockaddr_storage PeerAddress() const;     // all zero if unknown
   sockaddr_storage LocalAddress() const;    // all zero if unknown
   void ResetOnClose();                      // makes Close send a reset and drop unsent bytes
+  bool Delivered() const;                   // the peer's machine has acknowledged everything that was written
   bool NothingToRead() const;               // neither bytes nor the end of the stream are waiting to be read
   bool HasUnread(std::size_t bytes) const;  // at least so many bytes, up to kMaxReadSize, wait to be read
   bool PeerClosed() const;  // the peer has closed or reset, even if bytes are still to be read
--- a/src/core/connection_pool.cpp
+++ b/src/core/connection_pool.cpp
@@ -100,6 +100,9 @@
   if (connection == nullptr) return;
   if (const auto idle = idle_.find(connection->host); idle != idle_.end()) std::erase(idle->second, handle);
   core_->deadlines->Cancel(connection->deadline);
+  // The host must not get the rest of a request that was given up, which it would then run.
+  if (connection->request != 0 && connection->connected && !connection->tcp->Delivered())
+    connection->tcp->ResetOnClose();
   connection->tcp->Close();
   connections_.Remove(handle);
 }
--- a/src/core/upstream.cpp
+++ b/src/core/upstream.cpp
@@ -14,11 +14,13 @@
 namespace {
 
 // Microseconds.
-// A stream without progress for longer is broken. Clients wait 5 s, and the process may be held up for 0.15 s.
+// A stream without progress for longer is broken. Clients wait 5 s, and the process may be held up for 0.15
+// s.
 constexpr Time kIdleTimeout = 4'700'000;
 constexpr Time kHealthCheckTimeout = 1'000'000;
-constexpr Time kFirstEventTimeout = 1'000'000;  // without further bytes of a response whose first event is due
-constexpr Time kConnectRetryDelay = 20'000;     // after this machine could not open a connection
+constexpr Time kFirstEventTimeout =
+    1'000'000;                               // without further bytes of a response whose first event is due
+constexpr Time kConnectRetryDelay = 20'000;  // after this machine could not open a connection
 
 // A buffer that grows is copied: for a moment, and in the heap's gaps, it takes up to twice its size.
 constexpr std::size_t kGrowthFactor = 2;
