Reconnect attempts that wait for a connection to an address their replica has left

Cause: Upstream::SetHost closed idle connections only. Change: attempts that are not written get a connection to the new address, within their time as before.

--- a/src/core/upstream.cpp
+++ b/src/core/upstream.cpp
@@ -34,10 +34,24 @@
     if (known->host_port == host_port) return;
     Log(Level::kInfo, "host-address-changed", {{"replica", Hex8(id)}, {"to", host_port}});
     connections_.CloseIdle(id);
+    hosts_.Set(id, host_port);
+    return Reconnect(id);
   }
   hosts_.Set(id, host_port);
 }
 
+// Attempts that wait for a connection to the host's former address, where another process may listen by now,
+// get one to the new address.
+void Upstream::Reconnect(ReplicaId id) {
+  for (const Handle handle : requests_.All()) {
+    Request* request = requests_.Get(handle);
+    if (request == nullptr || request->replica != id || request->connection == 0) continue;
+    if (request_written(*request)) continue;
+    connections_.Close(std::exchange(request->connection, 0));
+    Connect(handle);
+  }
+}
+
 void Upstream::RemoveHost(ReplicaId id) {
   if (!hosts_.Contains(id)) return;
   connections_.CloseIdle(id);
--- a/src/core/upstream.h
+++ b/src/core/upstream.h
@@ -23,7 +23,7 @@
   Upstream(Core* core, std::size_t max_connections)
       : core_(core), connections_(core, &hosts_, this, max_connections) {}
 
-  // Called by EndpointTable. When an address changes, idle connections are closed and those in use are kept.
+  // Called by EndpointTable. When an address changes, only connections on which a request is written are kept.
   void SetHost(ReplicaId id, const std::string& host_port) override;
   void RemoveHost(ReplicaId id) override;
   void DropUnsent(ReplicaId id) override;
@@ -69,6 +69,7 @@
 
   void StartRequest(Request request, Time response_deadline);
   void Connect(Handle request);
+  void Reconnect(ReplicaId id);
   void ConnectLater(Handle request, int error);
   void OnConnectTimeout(Handle connection);
   bool CheckMayWrite(Handle request);
