Send nothing to a replica whose address a newly listed one has, or to its former process

Likewise a replica that discovery reports as newly started kept the idle connections of its former process. Cause: EndpointTable took each listed name by itself. Change: AddressOwners knows which replica was listed at an address last; those before it drain and lose their idle connections until they are listed anew or newly started. Replicas that the same list names are not taken for successors.

--- a/src/core/endpoint_table.cpp
+++ b/src/core/endpoint_table.cpp
@@ -98,6 +98,7 @@
   const std::size_t kept = scope == EndpointListScope::kDelta ? listed_.size() : 0;
   const std::size_t capacity = MaxReplicas() - std::min(MaxReplicas(), kept);
   std::size_t skipped = 0;
+  address_owners_.BeginList();
   for (const ListedEndpoint& entry : list.entries) {
     if (listed.size() < capacity || IsListed(entry.name)) {
       ApplyEntry(entry, &update, &listed, &removed);
@@ -105,6 +106,7 @@
       ++skipped;
     }
   }
+  WithdrawFormerOwners(&update);
   if (skipped > 0) {
     Log(Level::kError, "discovery-list-too-long", {{"skipped", skipped}, {"most", MaxReplicas()}});
   }
@@ -146,9 +148,11 @@
     removed->push_back(endpoint.id);
     last_listed_.erase(endpoint.id);
   } else {
-    last_listed_[endpoint.id] = endpoint;
-    ApplyDisabled(disabled_, entry.name, endpoint);
+    ForgetFormerProcess(entry.name, endpoint);
     core_->hosts->SetHost(endpoint.id, entry.host_port);
+    former_owners_.merge(address_owners_.Add(endpoint.id, entry.host_port));
+    last_listed_[endpoint.id] = endpoint;
+    ApplyOverrides(disabled_, entry.name, endpoint);
     if (core_->endpoint_observer != nullptr) {
       core_->endpoint_observer->OnEndpoint(Now(), endpoint, entry.name, entry.host_port);
     }
@@ -157,8 +161,34 @@
   update->endpoints.push_back(endpoint);
 }
 
+// A replica that has been started again has none of the connections of its former process, and its address.
+void EndpointTable::ForgetFormerProcess(const std::string& name, const Endpoint& endpoint) {
+  const auto last = last_listed_.find(endpoint.id);
+  if (last == last_listed_.end() || endpoint.started_at <= last->second.started_at) return;
+  Log(Level::kInfo, "replica-restarted", {{"instance", name}});
+  core_->hosts->CloseIdle(endpoint.id);
+  address_owners_.Forget(endpoint.id);
+}
+
+// What would be sent to these replicas would reach another one, which has their address now.
+void EndpointTable::WithdrawFormerOwners(EndpointList* update) {
+  std::set<ReplicaId> former_owners = std::exchange(former_owners_, {});
+  std::erase_if(former_owners, [this](ReplicaId id) { return !last_listed_.contains(id); });  // removed
+  std::erase_if(update->endpoints, [&](const Endpoint& listed) { return former_owners.contains(listed.id); });
+  for (const ReplicaId id : former_owners) {
+    if (address_owners_.HasLost(id, core_->hosts->AddressOf(id))) {
+      Log(Level::kWarn, "replica-address-taken", {{"instance", NameOf(id)}});
+      core_->hosts->CloseIdle(id);
+    }
+    Endpoint endpoint = last_listed_.at(id);
+    ApplyOverrides(disabled_, NameOf(id), endpoint);
+    update->endpoints.push_back(endpoint);
+  }
+}
+
 void EndpointTable::Forget(ReplicaId id) {
   incarnations_.Forget(id);
+  address_owners_.Forget(id);
   core_->hosts->RemoveHost(id);
   // Frees the memory: replicas get new names all the time, so the maps would grow without bound. A name that
   // comes back gets the same id.
@@ -199,12 +229,13 @@
 
 // ---- Replicas that operators disabled ----
 
-// Overrides the state and the start in `e` for a replica that was disabled or enabled again.
-void EndpointTable::ApplyDisabled(const DisabledReplicas& disabled, const std::string& name,
-                                  Endpoint& endpoint) {
-  if (disabled.disabled.contains(name) && endpoint.state == EndpointState::kReady) {
-    endpoint.state = EndpointState::kDraining;
-  }
+// Overrides the state and the start for a replica that was disabled or enabled again, and the state of one
+// whose address another replica has.
+void EndpointTable::ApplyOverrides(const DisabledReplicas& disabled, const std::string& name,
+                                   Endpoint& endpoint) const {
+  const bool withdrawn = disabled.disabled.contains(name) ||
+                         address_owners_.HasLost(endpoint.id, core_->hosts->AddressOf(endpoint.id));
+  if (withdrawn && endpoint.state == EndpointState::kReady) endpoint.state = EndpointState::kDraining;
   if (const auto enabled = disabled.enabled.find(name); enabled != disabled.enabled.end()) {
     endpoint.started_at = std::max(endpoint.started_at, enabled->second);
   }
@@ -218,7 +249,7 @@
 bool EndpointTable::IsUnavailable(ReplicaId id) const {
   const auto last = last_listed_.find(id);
   const bool not_ready = last != last_listed_.end() && last->second.state != EndpointState::kReady;
-  return IsDisabled(id) || not_ready;
+  return IsDisabled(id) || not_ready || address_owners_.HasLost(id, core_->hosts->AddressOf(id));
 }
 
 void EndpointTable::ReplaceDisabled(const DisabledReplicas& disabled) {
@@ -228,8 +259,8 @@
     if (name == names_.end()) continue;
     Endpoint before = listed;
     Endpoint after = listed;
-    ApplyDisabled(disabled_, name->second, before);
-    ApplyDisabled(disabled, name->second, after);
+    ApplyOverrides(disabled_, name->second, before);
+    ApplyOverrides(disabled, name->second, after);
     if (before.state != after.state || before.started_at != after.started_at) {
       update.endpoints.push_back(after);
     }
@@ -249,7 +280,7 @@
   }
   if (!listed) return true;
   Endpoint endpoint = last_listed_.at(id->second);
-  ApplyDisabled(disabled_, instance, endpoint);
+  ApplyOverrides(disabled_, instance, endpoint);
   Post(EndpointList{EndpointListScope::kDelta, static_cast<std::uint32_t>(generation_), {endpoint}});
   return true;
 }
--- a/src/core/endpoint_table.h
+++ b/src/core/endpoint_table.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 
+#include "core/address_owners_model.h"
 #include "core/core.h"
 #include "core/disabled_replicas_model.h"
 #include "core/endpoint_list_parser.h"
@@ -48,7 +49,8 @@
   const DisabledReplicas& disabled() const { return disabled_; }
   void ReplaceDisabled(const DisabledReplicas& disabled);
   bool IsDisabled(ReplicaId id) const;
-  bool IsUnavailable(ReplicaId id) const;  // disabled, or not ready according to the lists
+  // Disabled, not ready according to the lists, or its address belongs to another replica.
+  bool IsUnavailable(ReplicaId id) const;
 
  private:
   bool Withdraws(const ListedEndpoint& entry) const;
@@ -56,10 +58,12 @@
   bool IsListed(const std::string& instance) const;
   void ApplyEntry(const ListedEndpoint& entry, policy::EndpointList* update, std::set<ReplicaId>* listed,
                   std::vector<ReplicaId>* removed);
+  void ForgetFormerProcess(const std::string& name, const policy::Endpoint& endpoint);
+  void WithdrawFormerOwners(policy::EndpointList* update);
   void Forget(ReplicaId id);
   void Post(policy::EndpointList update);
-  static void ApplyDisabled(const DisabledReplicas& disabled, const std::string& name,
-                            policy::Endpoint& endpoint);
+  void ApplyOverrides(const DisabledReplicas& disabled, const std::string& name,
+                      policy::Endpoint& endpoint) const;
 
   Core* core_;
   std::uint64_t generation_ = 0;
@@ -69,7 +73,9 @@
   // The latest entry of each listed replica, as it was before disabled replicas are taken into account.
   std::map<ReplicaId, policy::Endpoint> last_listed_;
   ReplicaIncarnations incarnations_;
-  DisabledReplicas disabled_;  // by name, because an id can be given to another name later
+  AddressOwners address_owners_;
+  std::set<ReplicaId> former_owners_;  // replicas that have lost their address by the list being applied
+  DisabledReplicas disabled_;          // by name, because an id can be given to another name later
 };
 
 }  // namespace ryeglade
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -117,6 +117,8 @@
   // Adds a host, or changes the address of a known one.
   virtual void SetHost(ReplicaId id, const std::string& host_port) = 0;
   virtual void RemoveHost(ReplicaId id) = 0;
+  // Its process has gone: nothing more may be sent on its idle connections.
+  virtual void CloseIdle(ReplicaId id) = 0;
   // For a host that drains: requests that have not been written to it yet end as not sent.
   virtual void DropUnsent(ReplicaId id) = 0;
   virtual std::string AddressOf(ReplicaId id) const = 0;  // as last set; empty if unknown
--- a/src/core/upstream.h
+++ b/src/core/upstream.h
@@ -23,9 +23,11 @@
   Upstream(Core* core, std::size_t max_connections)
       : core_(core), connections_(core, &hosts_, this, max_connections) {}
 
-  // Called by EndpointTable. When an address changes, only connections on which a request is written are kept.
+  // Called by EndpointTable. When an address changes, only connections on which a request is written are
+  // kept.
   void SetHost(ReplicaId id, const std::string& host_port) override;
   void RemoveHost(ReplicaId id) override;
+  void CloseIdle(ReplicaId id) override { connections_.CloseIdle(id); }
   void DropUnsent(ReplicaId id) override;
   std::string AddressOf(ReplicaId id) const override { return hosts_.AddressOf(id); }
 
--- a/tests/adverse_peers.cpp
+++ b/tests/adverse_peers.cpp
@@ -2,6 +2,7 @@
 // clients that go and come again, addresses that get another process. The node is a process.
 // `adverse_peers PROGRAM NAME` runs one scenario.
 #include <chrono>
+#include <ctime>
 #include <filesystem>
 #include <map>
 #include <thread>
@@ -206,8 +207,37 @@
   node.WaitForLog("generation=3");
   // The connection belongs to the process that has gone.
   assert(old_process.ReadableWithin(1'000));
+  assert(Contains(node.AdminRequest("GET", "/control/counters"), "node_hosts_down 1"));
+  // A full list that still names both changes nothing; one that names the old one alone gives it back.
+  const auto a = InstanceJson("s-a", host.address()), b = InstanceJson("s-b", host.address());
+  watch.SendChunk(EndpointListJson(4, true, {b, a}).dump() + "\n");
+  node.WaitForLog("generation=4");
+  assert(Contains(node.AdminRequest("GET", "/control/counters"), "node_hosts_down 1"));
+  watch.SendChunk(EndpointListJson(5, false, {InstanceJson("s-b", host.address(), "left")}).dump() + "\n");
+  node.WaitForLog("generation=5");
+  assert(Contains(node.AdminRequest("GET", "/control/counters"), "node_hosts_down 1"));
+  watch.SendChunk(EndpointListJson(6, false, {InstanceJson("s-a", host.address(), "left")}).dump() + "\n");
+  watch.SendChunk(EndpointListJson(7, false, {a}).dump() + "\n");
+  node.WaitForLog("generation=7");
+  // A list that replaces it by another one at its address removes it.
+  watch.SendChunk(
+      EndpointListJson(71, false,
+                       {InstanceJson("s-c", host.address()), InstanceJson("s-a", host.address(), "left")})
+          .dump() +
+      "\n");
+  node.WaitForLog("generation=71");
   const std::string counters = node.AdminRequest("GET", "/control/counters");
-  assert(Contains(counters, "node_hosts_listed 1"));
+  assert(Contains(counters, "node_hosts_listed 1") && Contains(counters, "node_hosts_down 0"));
+  // Started again, it has none of its former process's connections.
+  client.Send(RequestText("2"));
+  Connection former = host.Accept();
+  former.ReadMessage();
+  former.Send(kStreamHead + "9\r\ndata: x\n\n\r\n" + kStreamEnd);
+  client.ReadUntil("0\r\n\r\n");
+  auto restarted = InstanceJson("s-c", host.address());
+  restarted["startedAtMs"] = std::time(nullptr) * 1'000;
+  watch.SendChunk(EndpointListJson(72, false, {restarted}).dump() + "\n");
+  assert(former.ReadableWithin(1'000));
 }
 
 }  // namespace
