Answer 409 to the id of an earlier request that may have run and may not run twice

Cause: PlatformFront knew the ids of open requests only. Change: it keeps the latest 4,096 ids of requests that may have run and whose class does not allow repeats (served, cut, failed, or given up by the client after an attempt was written). Safe by PROTOCOL: 'every request gets a new one, and so does a client's retry'; the one repeat that clients make crosses 'a request that the node has not read', whose id is not kept, and neither is that of a refused request. A flood of over 4,096 such requests pushes ids out.

--- a/src/fronts/platform/platform_front.cpp
+++ b/src/fronts/platform/platform_front.cpp
@@ -68,6 +68,7 @@
   }
   // Two streams with the same id could send two attempts of one call at the same time.
   if (call_ids_.contains(stream.call_id)) return ReplyLocally(connection, 409, "open-id");
+  if (used_call_ids_.Contains(stream.call_id)) return ReplyLocally(connection, 409, "used-id");
   if (!core_->buffers->MakeHeadroom()) return ReplyLocally(connection, 503, "memory", "Retry-After: 1\r\n");
   stream.method = request.method;
   stream.target = request.target;
@@ -79,7 +80,9 @@
   stream.head_memory = std::move(request.head_memory);
   stream.received_at = request.first_byte;
   call_ids_.insert(stream.call_id);
-  requests_[connection] = {0, stream.call_id, false};
+  const auto class_index = static_cast<std::size_t>(stream.arrival.class_index);
+  const policy::Idempotency idempotency = core_->config->settings.classes[class_index].idempotency;
+  requests_[connection] = {0, stream.call_id, false, idempotency == policy::Idempotency::kIdempotent};
   const Handle handle = streams_->Open(std::move(stream), this, connection);
   // The request may have been answered already, and the connection may serve its next request by now.
   if (streams_->Find(handle) != nullptr) requests_[connection].stream = handle;
@@ -157,12 +160,34 @@
   requests_.erase(it);
 }
 
+// For a request of which an attempt may have run.
+void PlatformFront::ForgetAfterRun(Handle connection) {
+  const auto it = requests_.find(connection);
+  if (it != requests_.end() && !it->second.may_repeat) used_call_ids_.Add(it->second.call_id);
+  Forget(connection);
+}
+
+std::vector<std::string> PlatformFront::CallIds() const {
+  std::vector<std::string> ids = used_call_ids_.InOrder();
+  ids.insert(ids.end(), call_ids_.begin(), call_ids_.end());
+  return ids;
+}
+
+void PlatformFront::AddUsedCallIds(const std::vector<std::string>& ids) {
+  for (const std::string& id : ids) used_call_ids_.Add(id);
+}
+
 void PlatformFront::OnClientDisconnected(Handle connection) {
   const auto it = requests_.find(connection);
   if (it == requests_.end()) return;
-  const Handle stream = it->second.stream;
-  Forget(connection);
-  streams_->OnClientDisconnected(stream);
+  const Handle handle = it->second.stream;
+  const Stream* stream = streams_->Find(handle);
+  if (stream != nullptr && stream->attempts_written > 0) {
+    ForgetAfterRun(connection);
+  } else {
+    Forget(connection);
+  }
+  streams_->OnClientDisconnected(handle);
 }
 
 void PlatformFront::OnBackpressure(Handle connection, bool congested) {
@@ -180,12 +205,12 @@
 }
 
 void PlatformFront::OnComplete(Handle connection) {
-  Forget(connection);
+  ForgetAfterRun(connection);
   downstream_->EndChunks(connection);
 }
 
 void PlatformFront::OnTruncated(Handle connection) {
-  Forget(connection);
+  ForgetAfterRun(connection);
   downstream_->Abort(connection);
 }
 
@@ -205,7 +230,7 @@
   const auto it = requests_.find(connection);
   if (it == requests_.end()) return;
   Log(Level::kWarn, "local-reply", {{"status", 502}, {"why", "failed"}, {"id", it->second.call_id}});
-  Forget(connection);
+  ForgetAfterRun(connection);
   downstream_->Reply(connection, 502, "", "");
 }
 
--- a/src/fronts/platform/platform_front.h
+++ b/src/fronts/platform/platform_front.h
@@ -9,6 +9,7 @@
 
 #include "core/core.h"
 #include "core/streams.h"
+#include "fronts/platform/used_call_ids.h"
 #include "http/downstream.h"
 
 namespace ryeglade {
@@ -31,12 +32,17 @@
   void OnFailed(Handle connection, policy::Outcome last) override;
   void OnInvalidRequest(Handle connection, int status, const std::string& body) override;
 
+  // For the other process of a hot restart: the ids that must not run there, and those of the other process.
+  std::vector<std::string> CallIds() const;
+  void AddUsedCallIds(const std::vector<std::string>& ids);
+
  private:
   // A request whose response is not complete.
   struct Request {
     Handle stream = 0;  // 0 if it is not open yet or has already been concluded
     std::string call_id;
     bool response_begun = false;  // the response head has been sent
+    bool may_repeat = false;      // its class allows that it runs more than once
   };
 
   void ReplyHealth(Handle connection, const HttpRequest& request);
@@ -45,12 +51,14 @@
   // of the malformed header, or "repeated".
   const char* ReadHeaders(const HttpRequest& request, StreamRequest& stream) const;
   void Forget(Handle connection);
+  void ForgetAfterRun(Handle connection);
 
   Core* core_;
   Streams* streams_;
   Downstream* downstream_ = nullptr;
   std::unordered_map<Handle, Request> requests_;  // open requests, by connection
   std::unordered_set<std::string> call_ids_;      // the ids of these requests
+  UsedCallIds used_call_ids_;
 };
 
 }  // namespace ryeglade
