Hand over the ids that must not run again to the other process of an upgrade

Change: the state that is handed over names the ids that are open or used (call_ids, a new field; readers of the form pass over fields that they do not know). Open: an id that the old process reads between writing that state and closing its listener, some 20 to 100 ms, is not known to the new one (docs/remaining.md).

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -199,6 +199,7 @@
     const bool use_restored =
         same_discovery && !state.roster.empty() && GenerationOf(state.roster) >= GenerationOf(configured);
     state_restored_ = true;
+    front_.AddUsedCallIds(state.call_ids);
     discovery_.LoadCachedList(use_restored ? state.roster : configured);
     hot_restart::DropMismatchedClasses(ClassNames(config_.settings), &state);
     decisions_.Post(
@@ -218,6 +219,7 @@
     state.discovery = discovery_.address();
     state.roster = discovery_.endpoints().Encode();
     state.classes = ClassNames(config_.settings);
+    state.call_ids = front_.CallIds();
     state.learned = decisions_.router().ExportState();
     return state;
   }
--- a/src/hot_restart/handover_state_codec.cpp
+++ b/src/hot_restart/handover_state_codec.cpp
@@ -72,10 +72,13 @@
 
 std::string EncodeHandoverState(const HandoverState& state, std::int64_t recipient) {
   const std::string learned = EncodeLearnedState(state.learned);
-  const json j = {
-      {"node", state.node},           {"program", state.program},
-      {"discovery", state.discovery}, {"roster", state.roster},
-      {"classes", state.classes},     {"learned", json::binary({learned.begin(), learned.end()})}};
+  const json j = {{"node", state.node},
+                  {"program", state.program},
+                  {"discovery", state.discovery},
+                  {"roster", state.roster},
+                  {"classes", state.classes},
+                  {"call_ids", state.call_ids},
+                  {"learned", json::binary({learned.begin(), learned.end()})}};
   const std::vector<std::uint8_t> bytes = json::to_msgpack(j);
   return AddHeader(kStateMagic, recipient, {bytes.begin(), bytes.end()});
 }
@@ -93,6 +96,7 @@
     state.discovery = j.value("discovery", "");
     state.roster = j.value("roster", "");
     state.classes = j.at("classes").get<std::vector<std::string>>();
+    state.call_ids = j.value("call_ids", std::vector<std::string>());
     const auto& binary = j.at("learned").get_binary();
     auto learned = DecodeLearnedState({binary.begin(), binary.end()}, why);
     if (!learned) return std::nullopt;
--- a/src/hot_restart/handover_state_codec.h
+++ b/src/hot_restart/handover_state_codec.h
@@ -19,12 +19,13 @@
 
 // What the old process of a node hands over to the new one.
 struct HandoverState {
-  std::string node;                  // name of the node that wrote the state
-  std::string program;               // version of the program that wrote the state
-  std::string discovery;             // address of the discovery service that `roster` was read from
-  std::string roster;                // the endpoint list, as the discovery service sent it
-  std::vector<std::string> classes;  // class names; their indexes are those used in `learned`
-  policy::LearnedState learned;      // what the decision module has learned and what it has in flight
+  std::string node;                   // name of the node that wrote the state
+  std::string program;                // version of the program that wrote the state
+  std::string discovery;              // address of the discovery service that `roster` was read from
+  std::string roster;                 // the endpoint list, as the discovery service sent it
+  std::vector<std::string> classes;   // class names; their indexes are those used in `learned`
+  std::vector<std::string> call_ids;  // ids of requests that must not run again
+  policy::LearnedState learned;       // what the decision module has learned and what it has in flight
 };
 
 // `recipient` is the pid of the only process that may restore the state.
