Begin no attempt for a client that may have left behind bytes it has pipelined

Cause: a request was refused only if 16 KiB waited unread at that moment; right after a read, the rest is still at the client's machine, so that neither these bytes nor the end behind them can be seen. Change: a connection whose input was once full, or unread by 16 KiB, has all but its first request refused until its client pauses for 50 ms; and no attempt, first or further, is written while bytes have waited unread for 50 ms: the module then concludes the request by what its attempts may have done. Safe for usual clients by PROTOCOL: 'Clients send one request at a time on a connection', so nothing waits behind theirs; each refused request still gets its answer.

--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -81,6 +81,8 @@
   // Called right before an attempt is written. Returns false if the client has closed its connection, even if
   // the end has not been read yet; the stream has then been ended.
   virtual bool CheckClientConnected(Handle stream) = 0;
+  // Returns whether the client may have closed its connection behind bytes that wait unread.
+  virtual bool ClientMayHaveClosedUnseen(Handle stream) const = 0;
 };
 
 // What Decisions calls on Upstream.
--- a/src/core/streams.cpp
+++ b/src/core/streams.cpp
@@ -144,6 +144,11 @@
   return false;
 }
 
+bool Streams::ClientMayHaveClosedUnseen(Handle handle) const {
+  const Stream* stream = streams_.Get(handle);
+  return stream != nullptr && stream->sink->MayHaveClosedUnseen(stream->client);
+}
+
 void Streams::OnClientDisconnected(Handle handle) {
   const Stream* stream = streams_.Get(handle);
   if (stream == nullptr) return;
--- a/src/core/streams.h
+++ b/src/core/streams.h
@@ -32,7 +32,8 @@
 class StreamSink {
  public:
   virtual ~StreamSink() = default;
-  virtual bool Connected(Handle client) const = 0;  // false if the client has closed its connection
+  virtual bool Connected(Handle client) const = 0;            // false if the client has closed its connection
+  virtual bool MayHaveClosedUnseen(Handle client) const = 0;  // Connected can't tell for the moment
   virtual void OnData(Handle client, std::string_view events) = 0;  // the first call starts the response
   virtual void OnComplete(Handle client) = 0;
   virtual void OnTruncated(Handle client) = 0;  // the response broke off after data and before its end
@@ -79,6 +80,7 @@
   void OnTruncated(Handle stream) override;
   void OnInvalidRequest(Handle stream, int status, const std::string& body) override;
   bool CheckClientConnected(Handle stream) override;
+  bool ClientMayHaveClosedUnseen(Handle stream) const override;
 
   // Called by Decisions.
   void Reject(Handle stream, Time retry_after) override;
--- a/src/core/upstream.cpp
+++ b/src/core/upstream.cpp
@@ -177,6 +177,12 @@
     Finish(handle, Outcome::kNotSent);
     return false;
   }
+  if (core_->responses->ClientMayHaveClosedUnseen(request.stream)) {
+    // The module concludes the request at once, by what earlier attempts may have done.
+    core_->events->Post(policy::DeadlineShortened{request.stream, 0});
+    Finish(handle, Outcome::kNotSent);
+    return false;
+  }
   return core_->responses->CheckClientConnected(request.stream);
 }
 
--- a/src/fronts/openai/openai_front.h
+++ b/src/fronts/openai/openai_front.h
@@ -42,6 +42,9 @@
   void FormatError(int status, std::string& headers, std::string& body) override;
 
   bool Connected(Handle connection) const override { return downstream_->Connected(connection); }
+  bool MayHaveClosedUnseen(Handle connection) const override {
+    return downstream_->MayHaveClosedUnseen(connection);
+  }
   void OnData(Handle connection, std::string_view events) override;
   void OnComplete(Handle connection) override;
   void OnTruncated(Handle connection) override;
--- a/src/fronts/platform/platform_front.h
+++ b/src/fronts/platform/platform_front.h
@@ -25,6 +25,9 @@
   void OnBackpressure(Handle connection, bool congested) override;
 
   bool Connected(Handle connection) const override { return downstream_->Connected(connection); }
+  bool MayHaveClosedUnseen(Handle connection) const override {
+    return downstream_->MayHaveClosedUnseen(connection);
+  }
   void OnData(Handle connection, std::string_view events) override;
   void OnComplete(Handle connection) override;
   void OnTruncated(Handle connection) override;
--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -25,9 +25,11 @@
 constexpr Time kIdleSweepInterval = 50'000;
 constexpr Time kIdleAfter = 200'000;        // a client may send its request this long after connecting
 constexpr Time kEndCheckInterval = 50'000;  // between checks whether the peer of an unread socket has closed
-constexpr Time kReadGrace = 10'000;         // a deadline that passes while input waits is postponed by this
-constexpr int kMaxEvictionAttempts = 4;     // per new connection
-constexpr int kMaxRequestsPerTurn = 16;     // of one connection, so that other sockets get their turn
+// A client whose next request comes this long after its last response no longer counts as overrunning.
+constexpr Time kOverrunPause = 50'000;
+constexpr Time kReadGrace = 10'000;      // a deadline that passes while input waits is postponed by this
+constexpr int kMaxEvictionAttempts = 4;  // per new connection
+constexpr int kMaxRequestsPerTurn = 16;  // of one connection, so that other sockets get their turn
 
 }  // namespace
 
@@ -174,6 +176,7 @@
   Client& client = *clients_.Get(handle);
   if (client.paused) return;
   client.paused = true;
+  client.paused_at = Now();
   client.tcp->StopReading();
   WatchForEndWhilePaused(handle);
 }
@@ -326,7 +329,7 @@
   if (client == nullptr || client->state == State::kLingering) return;
   client->input.Append(bytes, Now());
   if (client->state != State::kResponding) return ParseInput(handle);
-  if (client->input.full()) PauseReading(handle);
+  if (client->input.full()) PauseOverrun(handle);
 }
 
 // Parses the bytes that were read up to the end of a request, and goes on with the next request if the first
@@ -351,7 +354,12 @@
   }
   if (client == nullptr) return;
   client->parsing = false;
-  if (client->state == State::kResponding && client->input.full()) PauseReading(handle);
+  if (client->state == State::kResponding && client->input.full()) PauseOverrun(handle);
+}
+
+void Downstream::PauseOverrun(Handle handle) {
+  clients_.Get(handle)->overrun = true;
+  PauseReading(handle);
 }
 
 bool Downstream::OutputFull(const Client& client) const {
@@ -384,6 +392,7 @@
   if (client.state == State::kIdle) {
     client.state = State::kReading;
     client.parser.request().first_byte = client.input.FirstByteAt(Now());
+    if (client.parser.request().first_byte - client.idle_since >= kOverrunPause) client.overrun = false;
     // The deadline of the first request was set when the connection was accepted.
     if (client.used) SetRequestDeadline(handle, Now() + options_.request_timeout);
   }
@@ -399,9 +408,9 @@
   RejectIncomplete(handle, client.parser.error_status(), client.parser.error_reason());
 }
 
-// A client that pipelines more requests than are read ahead gets them refused, except for the first and the
-// last ones. While bytes wait unread, it can't be seen whether the client has closed the connection, and no
-// attempt may begin for a client that has.
+// A client that pipelines more requests than are read ahead gets all but its first ones refused. While bytes
+// wait unread, here or at the client's machine, it can't be seen whether the client has closed the
+// connection, and no attempt may begin for a client that has.
 void Downstream::OnRequestComplete(Handle handle, Client& client) {
   runtime_->deadlines->Cancel(client.deadline);
   client.state = State::kResponding;
@@ -411,9 +420,8 @@
     client.keep_alive = false;
     return RejectComplete(handle, "sockets");
   }
-  if (pipelined && !client.input.empty() && client.tcp->HasUnread(kMaxUnread)) {
-    return RejectComplete(handle, "pipelined");
-  }
+  client.overrun = client.overrun || (!client.input.empty() && client.tcp->HasUnread(kMaxUnread));
+  if (pipelined && client.overrun) return RejectComplete(handle, "pipelined");
   HttpRequest request = std::move(client.parser.request());
   front_->OnRequest(handle, std::move(request));
 }
@@ -525,6 +533,11 @@
   return client != nullptr && !client->tcp->PeerClosed();
 }
 
+bool Downstream::MayHaveClosedUnseen(Handle handle) const {
+  const Client* client = clients_.Get(handle);
+  return client != nullptr && client->paused && Now() - client->paused_at >= kEndCheckInterval;
+}
+
 // The response is complete. The connection stays open or is shut down gracefully: closing a socket with
 // unread input would reset the connection, and the client might lose the response.
 void Downstream::OnResponseComplete(Handle handle) {
--- a/src/http/downstream.h
+++ b/src/http/downstream.h
@@ -68,6 +68,9 @@
   sockaddr_storage PeerOf(Handle connection) const;  // all zero if unknown
   // Returns false if the client has closed the connection, even if that has not been read yet.
   bool Connected(Handle connection) const;
+  // Returns whether bytes of the client have waited unread for a while, so that its closing the connection
+  // could not be seen.
+  bool MayHaveClosedUnseen(Handle connection) const;
 
   // Hot restart: another process accepts clients at this address from now on. Accepts the connections that
   // are already established, closes the listener, and closes connections as they become idle.
@@ -111,7 +114,10 @@
     ClientInput input;     // follows the current request
     bool parsing = false;  // ParseInput is running; prevents recursion
     bool paused = false;   // nothing is read from the socket, because the input is full or waits to be parsed
-    DeadlineId end_check;  // while paused: of the next check whether the client has closed the connection
+    Time paused_at = 0;
+    // The client has pipelined more than is read ahead. Until it pauses, its requests are refused.
+    bool overrun = false;
+    DeadlineId end_check;    // while paused: of the next check whether the client has closed the connection
     bool keep_alive = true;  // whether the connection stays open after the current response
     bool used = false;       // a complete request has been received
     bool excess = false;     // accepted above the number of served connections: gets only an error response
@@ -140,6 +146,7 @@
   void CloseConnection(Handle connection, CloseReason reason);
   void CloseAndNotifyFront(Handle connection, CloseReason reason);
   void PauseReading(Handle connection);
+  void PauseOverrun(Handle connection);
   void ResumeReading(Client& client);
   void WatchForEndWhilePaused(Handle connection);
   void WatchForEndWhileClosing(Handle connection);
--- a/tests/greedy_peers.cpp
+++ b/tests/greedy_peers.cpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <future>
 #include <map>
+#include <mutex>
 #include <thread>
 
 #include "scripted_peers.h"
@@ -41,14 +42,21 @@
   std::vector<std::thread> threads_;
 };
 
-// Serves every request at once, on all connections in one thread.
+using Clock = std::chrono::steady_clock;
+
+// Serves every request after a while, on all connections in one thread.
 class FastReplica {
  public:
-  FastReplica() {
+  explicit FastReplica(std::chrono::milliseconds answers_after = {}) : answers_after_(answers_after) {
     threads_.Start([this](const std::atomic<bool>& stop) {
       while (!stop) ServeSome();
     });
   }
+  // When each request arrived, by its id.
+  std::map<std::string, Clock::time_point> arrivals() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return arrivals_;
+  }
   nlohmann::json List() const { return EndpointListJson(1, true, {InstanceJson("s-a", server_.address())}); }
 
  private:
@@ -56,13 +64,16 @@
   struct Peer {
     Connection connection;
     std::string text;
+    Clock::time_point answer_at = Clock::time_point::max();
   };
 
   // Waits for a moment until something arrives, and serves it.
   void ServeSome() {
     std::vector<pollfd> waits = {{server_.fd(), POLLIN, 0}};
     for (const Peer& peer : peers_) waits.push_back({peer.connection.fd(), POLLIN, 0});
-    if (poll(waits.data(), waits.size(), 20) <= 0) return;
+    const int ready = poll(waits.data(), waits.size(), answers_after_.count() > 0 ? 5 : 20);
+    std::erase_if(peers_, [](Peer& peer) { return Clock::now() >= peer.answer_at && !Answer(peer); });
+    if (ready <= 0 || waits.size() != peers_.size() + 1) return;
     for (std::size_t n = waits.size(); n-- > 1;) {
       if (waits[n].revents != 0 && !Serve(peers_[n - 1]))
         peers_.erase(peers_.begin() + static_cast<long>(n - 1));
@@ -71,7 +82,7 @@
   }
 
   // Returns false at the end of the connection.
-  static bool Serve(Peer& peer) {
+  bool Serve(Peer& peer) {
     char bytes[65536];
     const ssize_t n = recv(peer.connection.fd(), bytes, sizeof bytes, 0);
     if (n <= 0) return false;
@@ -80,13 +91,27 @@
     const std::size_t length = peer.text.find("Content-Length: ");
     if (head == std::string::npos) return true;
     if (peer.text.size() < head + 4 + std::stoul(peer.text.substr(length + 16))) return true;
+    const std::size_t id = peer.text.find("X-Call-Id: ") + std::string("X-Call-Id: ").size();
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      arrivals_.emplace(peer.text.substr(id, peer.text.find('\r', id) - id), Clock::now());
+    }
     peer.text.clear();
+    peer.answer_at = Clock::now() + answers_after_;
+    return answers_after_.count() > 0 || Answer(peer);
+  }
+
+  static bool Answer(Peer& peer) {
+    peer.answer_at = Clock::time_point::max();
     const std::string answer = kStreamHead + "9\r\ndata: x\n\n\r\n" + kStreamEnd;
     return send(peer.connection.fd(), answer.data(), answer.size(), MSG_NOSIGNAL) > 0;
   }
 
+  const std::chrono::milliseconds answers_after_;
   ScriptedServer server_;
   std::vector<Peer> peers_;
+  mutable std::mutex mutex_;
+  std::map<std::string, Clock::time_point> arrivals_;
   Threads threads_;
 };
 
@@ -157,14 +182,17 @@
 }
 
 // Sends all of `bytes` at full speed and reads whatever it is sent. Returns what it has read once `done` says
-// that this is all, or the connection has ended.
+// that this is all, or the connection has ended. Asks `done` at least each `wait_ms`; the test fails if
+// nothing happens for kTimeoutMs.
 std::string Exchange(const Connection& connection, const std::string& bytes,
-                     const std::function<bool(const std::string& received)>& done) {
+                     const std::function<bool(const std::string& received)>& done, int wait_ms = kTimeoutMs) {
   std::string received;
   std::size_t sent = 0;
   while (!done(received)) {
     pollfd wait{connection.fd(), static_cast<short>(sent < bytes.size() ? POLLIN | POLLOUT : POLLIN), 0};
-    assert(poll(&wait, 1, kTimeoutMs) == 1);
+    const int ready = poll(&wait, 1, wait_ms);
+    assert(ready == 1 || wait_ms < kTimeoutMs);
+    if (ready <= 0) continue;
     if ((wait.revents & POLLOUT) != 0) {
       const ssize_t n =
           send(connection.fd(), bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
@@ -240,6 +268,42 @@
   }
 }
 
+// Clients send hundreds of requests at once and leave. Guards against attempts that begin over 0.1 s after
+// their client has closed: its end is behind bytes that the node has not read.
+void ClientsThatLeave() {
+  constexpr auto kLate =
+      std::chrono::milliseconds(200);  // 0.1 s, 50 ms on sockets, 50 ms for the threads here
+  const FastReplica replica(std::chrono::milliseconds(400));
+  const WatchedNode node(replica.List());
+  std::mutex mutex;
+  std::map<std::string, Clock::time_point> left;
+  {
+    Threads clients;
+    for (int n = 0; n < std::min(BadClients(), 50); ++n) {
+      clients.Start([&, n](const std::atomic<bool>&) {
+        std::string text;
+        for (int k = 0; k < 400; ++k)
+          text += RequestText(std::to_string(1'000'000 + n * 1'000 + k), std::string(2'048, 'x'));
+        Connection connection = node.Connect();
+        const auto end = Clock::now() + std::chrono::milliseconds(50);
+        Exchange(
+            connection, text, [&](const std::string&) { return Clock::now() > end; }, 10);
+        connection.Close();
+        const std::lock_guard<std::mutex> lock(mutex);
+        for (int k = 0; k < 400; ++k) left.emplace(std::to_string(1'000'000 + n * 1'000 + k), Clock::now());
+      });
+    }
+  }
+  sleep(3);
+  int attempts = 0, late = 0;
+  for (const auto& [id, at] : replica.arrivals()) {
+    ++attempts;
+    late += left.contains(id) && at > left.at(id) + kLate;
+  }
+  std::printf("%d attempts, %d began late\n", attempts, late);
+  assert(attempts > 0 && late == 0);
+}
+
 // Clients send heads that never end, in very short lines. Guards against parsed header fields, which take
 // many times the bytes on the wire and were counted nowhere.
 void HeadsOfShortFields() {
@@ -426,6 +490,7 @@
   using namespace scripted;
   const std::map<std::string, void (*)()> scenarios = {{"pipelined", PipelinedRequests},
                                                        {"no-stall", PipelinedRequestsDoNotStall},
+                                                       {"leave", ClientsThatLeave},
                                                        {"heads", HeadsOfShortFields},
                                                        {"unread-answers", UnreadAnswers},
                                                        {"unfinished-bodies", UnfinishedBodies},
