Evict connections that have not sent a byte first, and after 10 ms if others wait

Cause: a silent connection made room only after 0.5 s, so that some 100 were taken in half a second, in the order in which they had come. Change: when there is no room, connections that have sent nothing go before idle ones, 10 ms after they were accepted, or at once in favor of a complete request that has been read. Connections with part of a request keep their 0.5 s. Not played: the crowd during an upgrade.

--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -18,8 +18,10 @@
 constexpr std::size_t kMaxUnsent = std::size_t{128} * 1024;
 constexpr std::size_t kMaxUnsentWhenShort = std::size_t{16} * 1024;  // while the memory budget is half used
 // Times in microseconds.
-constexpr Time kIdleTimeout = 60'000'000;   // a connection without a further request for this long is closed
-constexpr Time kEvictableAfter = 500'000;   // without a complete request for this long, it may be evicted
+constexpr Time kIdleTimeout = 60'000'000;  // a connection without a further request for this long is closed
+constexpr Time kEvictableAfter = 500'000;  // without a complete request for this long, it may be evicted
+constexpr Time kSilentEvictableAfter = 10'000;  // the same for one that has not sent a byte
+constexpr Time kSilentEvictableForRequest = 0;  // the same in favor of a complete request
 constexpr Time kWriteTimeout = 10'000'000;  // a congested client that reads nothing for this long is dropped
 constexpr Time kLingerTimeout = 1'000'000;  // from a connection's last response to its closing
 constexpr Time kIdleSweepInterval = 50'000;
@@ -39,10 +41,11 @@
       options_(std::move(options)),
       max_served_(options_.max_connections * 9 / 10),
       max_excess_(options_.max_connections - max_served_),
-      acceptor_(runtime, {.has_capacity = [this] { return HasCapacity(); },
-                          .make_capacity = [this] { return EvictConnection() || HasCapacity(); },
-                          .on_connection = [this](int fd) { AddClient(fd); },
-                          .connections = [this] { return clients_.size(); }}) {
+      acceptor_(runtime,
+                {.has_capacity = [this] { return HasCapacity(); },
+                 .make_capacity = [this] { return EvictConnection(kSilentEvictableAfter) || HasCapacity(); },
+                 .on_connection = [this](int fd) { AddClient(fd); },
+                 .connections = [this] { return clients_.size(); }}) {
   runtime_->buffers->AddReclaimer([this] { return ReclaimMemory(); });
 }
 
@@ -84,13 +87,14 @@
 }
 
 // Keeps the process from running out of descriptors. Closes, in this order of preference: a lingering
-// connection whose last response is sent; the connection that has been idle longest after a response, since
-// HTTP allows closing between requests; a connection without a complete request for long, since most clients
-// send theirs at once. Returns false if there is no capacity for another served connection.
-bool Downstream::EvictConnection() {
+// connection whose last response is sent; one that has not sent a byte, since clients send their request as
+// soon as they are connected, and it may be anywhere behind such connections; the connection that has been
+// idle longest after a response, since HTTP allows closing between requests; a connection without a complete
+// request for long. Returns false if there is no capacity for another served connection.
+bool Downstream::EvictConnection(Time silent_for) {
   if (clients_.size() < max_served_) return true;
   for (int attempt = 0; attempt < kMaxEvictionAttempts; ++attempt) {
-    const Handle handle = EvictionCandidate();
+    const Handle handle = EvictionCandidate(silent_for);
     Client* client = clients_.Get(handle);
     if (client == nullptr) return false;
     if (client->state == State::kLingering || client->tcp->NothingToRead()) {
@@ -103,11 +107,11 @@
 }
 
 // Returns 0 if no connection may be closed.
-Handle Downstream::EvictionCandidate() const {
+Handle Downstream::EvictionCandidate(Time silent_for) const {
   Handle first = 0;
   EvictionRank lowest;
   for (const Handle handle : clients_.All()) {
-    const EvictionRank rank = RankForEviction(*clients_.Get(handle));
+    const EvictionRank rank = RankForEviction(*clients_.Get(handle), silent_for);
     if (rank < lowest) {
       first = handle;
       lowest = rank;
@@ -116,11 +120,13 @@
   return first;
 }
 
-Downstream::EvictionRank Downstream::RankForEviction(const Client& client) {
+Downstream::EvictionRank Downstream::RankForEviction(const Client& client, Time silent_for) {
   if (client.state == State::kLingering && client.tcp->unsent() == 0) return {0, client.idle_since};
-  if (client.used && IsIdle(client)) return {1, client.idle_since};
-  const bool no_request = client.state == State::kReading || (!client.used && client.state == State::kIdle);
-  if (no_request && Now() - client.idle_since >= kEvictableAfter) return {2, client.idle_since};
+  const bool silent = !client.used && client.state == State::kIdle;
+  if (silent && Now() - client.idle_since >= silent_for) return {1, client.idle_since};
+  if (client.used && IsIdle(client)) return {2, client.idle_since};
+  const bool unfinished = client.state == State::kReading;
+  if (unfinished && Now() - client.idle_since >= kEvictableAfter) return {3, client.idle_since};
   return {};
 }
 
@@ -416,7 +422,7 @@
   client.state = State::kResponding;
   const bool pipelined = std::exchange(client.used, true);
   client.keep_alive = client.parser.keep_alive();
-  if (client.excess && clients_.size() > max_served_ && !EvictConnection()) {
+  if (client.excess && clients_.size() > max_served_ && !EvictConnection(kSilentEvictableForRequest)) {
     client.keep_alive = false;
     return RejectComplete(handle, "sockets");
   }
--- a/src/http/downstream.h
+++ b/src/http/downstream.h
@@ -129,7 +129,7 @@
 
   // The order in which connections may be closed in favor of new ones: lowest first.
   struct EvictionRank {
-    int group = 3;   // 0 to 2; 3 if the connection must not be closed
+    int group = 4;   // 0 to 3; 4 if the connection must not be closed
     Time since = 0;  // within a group the connection that has waited longest comes first
     auto operator<=>(const EvictionRank&) const = default;
   };
@@ -137,9 +137,10 @@
   // Connections and their limit.
   void AddClient(int fd);
   bool HasCapacity() const { return clients_.size() < max_served_ + max_excess_; }
-  bool EvictConnection();
-  Handle EvictionCandidate() const;
-  static EvictionRank RankForEviction(const Client& client);
+  // `silent_for`: how long a connection must not have sent a byte, from its start on, to be evicted.
+  bool EvictConnection(Time silent_for);
+  Handle EvictionCandidate(Time silent_for) const;
+  static EvictionRank RankForEviction(const Client& client, Time silent_for);
   static bool IsIdle(const Client& client);
   void SweepIdle();
   void CloseGracefully(Handle connection, CloseReason reason);
--- a/tests/greedy_peers.cpp
+++ b/tests/greedy_peers.cpp
@@ -304,6 +304,39 @@
   assert(attempts > 0 && late == 0);
 }
 
+// Very many clients connect, say nothing and come again when they are closed. Guards against usual requests
+// that wait unread behind them: each is answered in time, or its connection is closed at once.
+void SilentCrowd() {
+  constexpr int kSilent = 600;
+  constexpr auto kAnswerWithin = std::chrono::milliseconds(1'500);  // the client's second, and half of one
+  const FastReplica replica;
+  const WatchedNode node(replica.List());
+  Threads clients;
+  clients.Start([&](const std::atomic<bool>& stop) {
+    std::vector<Connection> silent(kSilent);
+    while (!stop) {
+      for (Connection& connection : silent) {
+        if (connection.fd() >= 0 && connection.ReadableWithin(0)) connection.Close();
+        if (connection.fd() < 0) connection = TryConnectTo(node.port());
+      }
+      usleep(1'000);
+    }
+  });
+  usleep(500'000);
+  int answered = 0, closed = 0;
+  for (int id = 1; id <= 40; ++id) {
+    Connection usual = node.Connect();
+    usual.Send(RequestText(std::to_string(id), "{}", "1.000"));
+    const auto begin = Clock::now();
+    const std::string head = usual.ReadUntilOrEnd("\r\n\r\n");
+    assert(Clock::now() - begin < kAnswerWithin);
+    answered += Contains(head, " 200 ");
+    closed += head.empty();
+  }
+  std::printf("%d answered, %d closed, %d refused\n", answered, closed, 40 - answered - closed);
+  assert(answered >= 36);
+}
+
 // Clients send heads that never end, in very short lines. Guards against parsed header fields, which take
 // many times the bytes on the wire and were counted nowhere.
 void HeadsOfShortFields() {
@@ -491,6 +524,7 @@
   const std::map<std::string, void (*)()> scenarios = {{"pipelined", PipelinedRequests},
                                                        {"no-stall", PipelinedRequestsDoNotStall},
                                                        {"leave", ClientsThatLeave},
+                                                       {"silent-crowd", SilentCrowd},
                                                        {"heads", HeadsOfShortFields},
                                                        {"unread-answers", UnreadAnswers},
                                                        {"unfinished-bodies", UnfinishedBodies},
