Soak: streams cut short, slow writers, ids that come again, and bad clients by the hundreds

Change: a seed may draw replicas that end answers with the last chunk at any byte before the end of [DONE] or write events in pieces; one client that sends small and unsound requests under ever new names; clients by the hundreds that stop half way, send heads of very many fields, do not read, or send much and leave; ids that come again after their client has left; a crowd of 300. New in what is judged: such streams served as complete, ids run again, attempts for clients that sent much and left, and a process's private memory against its limit (64 MB).

--- a/lab/fake_replica.cpp
+++ b/lab/fake_replica.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::size_t kBytesPerToken = 4;
+constexpr Time kSlowWritePause = 300'000;  // microseconds, within each event of kSlowWrite
 
 }  // namespace
 
@@ -80,6 +81,11 @@
   if (requested == Fault::kBusyOnce) job.fault = before == 0 ? Fault::kBusy : Fault::kNone;
   if (requested == Fault::kErrorOnce) job.fault = before == 0 ? Fault::kError : Fault::kNone;
   if (job.fault != Fault::kNone) ++attempt_counts_->faulty_attempts;
+  if (job.fault == Fault::kCutShort) {
+    const std::size_t per_event = static_cast<std::size_t>(options_.tokens_per_event);
+    const std::size_t events = (job.tokens + per_event - 1) / per_event + (job.usage ? 2 : 1);
+    job.events_before_cut = fault_random_.Below(events);
+  }
   const bool full = static_cast<int>(waiting_.size()) >= options_.queue;
   jobs_[connection] = job;
   if (job.fault == Fault::kBusy || full) {
@@ -106,6 +112,19 @@
   server_.Chunk(connection, events);
 }
 
+// Returns false if the response is cut short within this event, and has ended with the last chunk.
+bool FakeReplica::SendEvent(Handle connection, const std::string& event) {
+  Job& job = jobs_.at(connection);
+  if (job.fault != Fault::kCutShort || job.events_before_cut-- > 0) {
+    Send(connection, event);
+    return true;
+  }
+  Send(connection, event.substr(0, fault_random_.Below(event.size())));
+  End(connection, FakeAttemptEnd::kCutShort);
+  server_.EndChunks(connection);
+  return false;
+}
+
 void FakeReplica::End(Handle connection, FakeAttemptEnd how) {
   const auto it = jobs_.find(connection);
   if (it == jobs_.end()) return;
@@ -180,9 +199,21 @@
   const Time spent = static_cast<Time>(to - job.sent) * options_.per_token;
   for (; job.sent < to; ++job.sent) text += Token(job.prompt, options_.seed, job.sent);
   const bool last = job.sent >= job.tokens;
-  Send(connection, Event(job, text, last));
-  job.next = runtime_->deadlines->Set(
-      Now() + spent, [this, connection, last] { last ? Finish(connection) : SendNextEvent(connection); });
+  const std::string event = Event(job, text, last);
+  if (job.fault != Fault::kSlowWrite) {
+    if (SendEvent(connection, event)) ScheduleAfterEvent(connection, spent, last);
+    return;
+  }
+  Send(connection, event.substr(0, event.size() / 2));
+  job.next = runtime_->deadlines->Set(Now() + kSlowWritePause, [this, connection, event, spent, last] {
+    Send(connection, event.substr(event.size() / 2));
+    ScheduleAfterEvent(connection, spent, last);
+  });
+}
+
+void FakeReplica::ScheduleAfterEvent(Handle connection, Time delay, bool last) {
+  jobs_.at(connection).next = runtime_->deadlines->Set(
+      Now() + delay, [this, connection, last] { last ? Finish(connection) : SendNextEvent(connection); });
 }
 
 std::string FakeReplica::Usage(const Job& job) const {
@@ -210,8 +241,8 @@
 
 void FakeReplica::Finish(Handle connection) {
   const Job job = jobs_.at(connection);
-  if (job.usage && job.fault != Fault::kNoUsage) Send(connection, Usage(job));
-  if (job.fault != Fault::kNoDone) Send(connection, "data: [DONE]\n\n");
+  if (job.usage && job.fault != Fault::kNoUsage && !SendEvent(connection, Usage(job))) return;
+  if (job.fault != Fault::kNoDone && !SendEvent(connection, "data: [DONE]\n\n")) return;
   End(connection, FakeAttemptEnd::kCompleted);
   server_.EndChunks(connection);
 }
--- a/lab/fake_replica.h
+++ b/lab/fake_replica.h
@@ -19,7 +19,7 @@
 enum class ReplicaDialect : std::uint8_t { kPlatform, kOpenAi };
 
 // How an attempt at a fake replica ended.
-enum class FakeAttemptEnd : std::uint8_t { kCompleted, kRejected, kError, kReset, kClosedByNode };
+enum class FakeAttemptEnd : std::uint8_t { kCompleted, kCutShort, kRejected, kError, kReset, kClosedByNode };
 
 // Is called for every attempt at a fake replica, as it happens. Must not call the replica.
 class AttemptObserver {
@@ -82,13 +82,16 @@
     bool running = false;   // in the batch; false: waits for it, or never enters it
     double max_tokens = 0;  // as requested; 0: not set
     Fault fault = Fault::kNone;
-    DeadlineId next{};  // of the next event
+    std::size_t events_before_cut = 0;  // for kCutShort
+    DeadlineId next{};                  // of the next event
   };
 
   void StartWaitingJobs();
   void Start(Handle connection);
   void SendNextEvent(Handle connection);
   void Finish(Handle connection);
+  bool SendEvent(Handle connection, const std::string& event);
+  void ScheduleAfterEvent(Handle connection, Time delay, bool last);
   void End(Handle connection, FakeAttemptEnd how);  // removes the job and lets the next one start
   void Send(Handle connection, const std::string& events);
   void ReplyError(Handle connection, int status);  // 429 means that the request is rejected
--- a/lab/fault.cpp
+++ b/lab/fault.cpp
@@ -18,6 +18,8 @@
                                                                                      "bad-request",
                                                                                      "no-usage",
                                                                                      "no-done",
+                                                                                     "cut-short",
+                                                                                     "slow-write",
                                                                                      "error-event",
                                                                                      "error-first",
                                                                                      "usage-negative",
--- a/lab/fault.h
+++ b/lab/fault.h
@@ -23,6 +23,8 @@
   kBadRequest,  // 400
   kNoUsage,     // no usage event, though the request asks for it
   kNoDone,      // ends without [DONE]
+  kCutShort,    // ends with the last chunk, at any byte before the end of [DONE]
+  kSlowWrite,   // writes each event in pieces, with pauses
   kErrorEvent,  // an error event in the middle of the response
   kErrorFirst,  // an error event as the first event
   // The usage event is invalid in the way that the name says.
--- a/lab/node_process.cpp
+++ b/lab/node_process.cpp
@@ -7,6 +7,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -103,11 +104,30 @@
   std::filesystem::rename(directory_ + "/config.new", directory_ + "/config.json");
 }
 
+namespace {
+
+// In pages.
+struct MemoryPages {
+  std::size_t all = 0, resident = 0, shared = 0;
+};
+
+MemoryPages ReadMemoryPages(pid_t pid) {
+  std::ifstream in("/proc/" + std::to_string(pid) + "/statm");
+  MemoryPages pages;
+  in >> pages.all >> pages.resident >> pages.shared;
+  return pages;
+}
+
+}  // namespace
+
 std::size_t NodeProcess::ResidentBytes() const {
-  std::ifstream in("/proc/" + std::to_string(pid_) + "/statm");  // in pages: total size, resident size
-  std::size_t all = 0, resident = 0;
-  in >> all >> resident;
-  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+  return ReadMemoryPages(pid_).resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+std::size_t NodeProcess::PrivateBytes() const {
+  const MemoryPages pages = ReadMemoryPages(pid_);
+  return (pages.resident - std::min(pages.resident, pages.shared)) *
+         static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
 std::int64_t NodeProcess::CpuWaitTime() const {
--- a/lab/node_process.h
+++ b/lab/node_process.h
@@ -39,6 +39,7 @@
   int status() const;                                 // the same for a process that has ended
   void WriteConfig(const std::string& config) const;  // replaces the configuration, which SIGHUP reloads
   std::size_t OpenDescriptors() const;                // number of open file descriptors
+  std::size_t PrivateBytes() const;                   // the same without the pages of files
   std::size_t ResidentBytes() const;                  // resident memory
   std::int64_t CpuWaitTime() const;  // microseconds for which it was runnable but had no core
   pid_t pid() const { return pid_; }
--- a/lab/soak/checker_model.cpp
+++ b/lab/soak/checker_model.cpp
@@ -80,6 +80,7 @@
     CheckEventDelays();
     for (const Process& p : history_.processes) CheckProcess(p);
     for (const BadClient& b : history_.bad_clients) CheckBadClient(b);
+    for (const ClientThatLeft& c : history_.clients_that_left) CheckClientThatLeft(c);
     return std::move(verdict_);
   }
 
@@ -166,6 +167,7 @@
     CheckRefusal(r, attempts);
     CheckRepeats(r, attempts);
     for (const Attempt* a : attempts) CheckAttempt(r, *a);
+    if (r.id_again) CheckIdAgain(r, attempts);
     if (r.end == ClientEnd::kServed || r.end == ClientEnd::kTruncated) CheckContent(r, attempts);
   }
 
@@ -357,6 +359,41 @@
     }
   }
 
+  // The client of an earlier request with this id has closed its connection, and the id has come again.
+  void CheckIdAgain(const ClientRequest& r, const Attempts& attempts) {
+    const std::vector<ClassRules> rules = RulesOf(r);
+    const bool forbidden = !rules.empty() && std::all_of(rules.begin(), rules.end(), [](const ClassRules& c) {
+      return c.effect == Idempotency::kNotIdempotent;
+    });
+    const auto all = attempts_.find(r.id);
+    if (!forbidden || attempts.empty() || WasReplaced(r)) return;
+    for (const Attempt* earlier : all->second) {
+      if (earlier->began >= r.sent || !earlier->MayHaveRun()) continue;
+      return AddViolation(Rule::kRepeat, r, attempts.front()->began,
+                          "its id ran again although its class forbids repeats");
+    }
+  }
+
+  // True if the node's process was another one when an earlier request with this id was sent.
+  bool WasReplaced(const ClientRequest& r) const {
+    return std::any_of(history_.processes.begin(), history_.processes.end(), [&](const Process& p) {
+      return p.node == r.node && p.started > send_times_.at(r.id).front() && p.started <= r.sent;
+    });
+  }
+
+  void CheckClientThatLeft(const ClientThatLeft& c) {
+    for (auto it = attempts_.lower_bound(c.id_prefix);
+         it != attempts_.end() && it->first.starts_with(c.id_prefix); ++it) {
+      for (const Attempt* a : it->second) {
+        if (a->began <= EndOfPause(c.node, c.closed) + kAttemptAfterClose + kTolerance) continue;
+        verdict_.violations.push_back(
+            {Rule::kClientGone, it->first, c.node, a->began,
+             fmt::format("an attempt began {} ms after its client had sent much and left",
+                         (a->began - c.closed) / 1000)});
+      }
+    }
+  }
+
   void CheckAttempt(const ClientRequest& r, const Attempt& a) {
     if (r.client_closed != 0 && !r.half_closed &&
         a.began > EndOfPause(r.node, r.client_closed) + kAttemptAfterClose + kTolerance) {
@@ -467,6 +504,10 @@
       add_violation(p.ended, fmt::format("had {} descriptors at its end, {} at its start", p.last_descriptors,
                                          p.first_descriptors));
     }
+    if (p.memory_limit != 0 && p.peak_memory > p.memory_limit) {
+      add_violation(p.ended, fmt::format("used {} MB of memory, over its limit of {} MB", p.peak_memory >> 20,
+                                         p.memory_limit >> 20));
+    }
     if (p.last_memory > p.first_memory + kMaxMemoryGrowth) {
       add_violation(p.ended, fmt::format("used {} MB more memory than at its start",
                                          (p.last_memory - p.first_memory) >> 20));
--- a/lab/soak/clients.cpp
+++ b/lab/soak/clients.cpp
@@ -114,6 +114,7 @@
     record->id = before.id;
     record->cls = before.cls;
     record->budget = before.budget;
+    record->id_again = before.client_closed != 0;
     c.resend.pop_back();
   } else {
     const auto at = static_cast<std::ptrdiff_t>(c.random.Below(plan_.classes.size()));
@@ -343,6 +344,9 @@
     // once more on a new connection.
     if (r.end == ClientEnd::kNoAnswer && r.reused && !r.pipelined && how != ClientEnd::kClientClosed)
       c.resend.push_back(n);
+    if (r.end == ClientEnd::kClientClosed && !r.half_closed && !r.pipelined &&
+        c.random.Chance(plan_.habits.id_again))
+      c.resend.push_back(n);
     first = false;
     --outstanding_;
   }
--- a/lab/soak/history_model.h
+++ b/lab/soak/history_model.h
@@ -55,6 +55,7 @@
   bool pipelined = false;    // written behind another request, before the answer to that one
   bool half_closed = false;  // at `client_closed` the client closed its sending side only
   bool slow_reader = false;
+  bool id_again = false;  // its id is that of a request whose client has closed its connection
   ClientEnd end = ClientEnd::kUnfinished;
   int status = 0;                  // of the answer; 0 if none was complete
   std::vector<TimedBytes> events;  // pieces of the answer's body, as they were read
@@ -63,6 +64,7 @@
 enum class AttemptEnd : std::uint8_t {
   kUnfinished,  // the soak ended before the attempt did
   kComplete,    // answered completely, including the last chunk
+  kCutShort,    // ended with the last chunk before the end of [DONE]
   kRejected,    // rejected before it ran, which the answer says
   kError,       // an error status
   kReset,       // the replica, or the link to it, broke the connection
@@ -107,6 +109,7 @@
   std::vector<Interval> pauses;  // by SIGSTOP, or because it waited for a core
   // Open descriptors, when it became ready and before SIGTERM.
   std::size_t first_descriptors = 0, last_descriptors = 0;
+  std::size_t memory_limit = 0, peak_memory = 0;  // bytes; the peak is that of private memory
   std::size_t first_memory = 0, last_memory = 0;  // resident bytes, when it became ready and before SIGTERM
   std::string counters;                           // its metrics text, read before SIGTERM; empty if not read
 };
@@ -140,6 +143,13 @@
   bool answered = false;      // the node sent some bytes before the end
 };
 
+// A client that sent many requests at once and closed its connection.
+struct ClientThatLeft {
+  std::size_t node = 0;
+  Time closed = 0;
+  std::string id_prefix;  // of its requests' ids
+};
+
 struct History {
   Time begin = 0, end = 0;
   bool resume = false;  // the plan lets clients ask for the rest of a broken stream
@@ -154,6 +164,7 @@
   std::vector<DiscoveryChange> discovery_changes;
   std::vector<LinkFault> link_faults;
   std::vector<BadClient> bad_clients;
+  std::vector<ClientThatLeft> clients_that_left;
 };
 
 }  // namespace ryeglade::soak
--- a/lab/soak/plan.cpp
+++ b/lab/soak/plan.cpp
@@ -22,10 +22,12 @@
 constexpr Time kMillisecond = 1'000;
 
 constexpr std::array<const char*, static_cast<std::size_t>(FaultKind::kCount)> kFaultNames = {
-    "term",       "term-twice", "hup",     "hup-settings", "kill",  "stop",        "hot-restart",
-    "hang",       "stall",      "break",   "reset",        "error", "reject",      "slow",
-    "close-idle", "drain",      "restart", "late",         "delay", "reset-links", "reset-under",
-    "twice",      "dark",       "silent",  "slow-list",    "leave"};
+    "term",        "term-twice",     "hup",         "hup-settings", "kill",           "stop",
+    "hot-restart", "hang",           "stall",       "break",        "reset",          "error",
+    "reject",      "slow",           "close-idle",  "drain",        "restart",        "late",
+    "delay",       "reset-links",    "reset-under", "twice",        "cut-short",      "slow-write",
+    "flood",       "send-and-leave", "half-bodies", "many-fields",  "unread-answers", "dark",
+    "silent",      "slow-list",      "leave"};
 
 constexpr std::array<const char*, 3> kEffectNames = {"free", "guarded", "single_shot"};
 constexpr std::array<const char*, 3> kScopeNames = {"all", "zone", "cell"};
@@ -136,7 +138,7 @@
   }
 
   void AddOtherFault(Time at) {
-    switch (random_.Below(20)) {
+    switch (random_.Below(25)) {
       case 0:
         Add(at, FaultKind::kHupSettings);
         return;
@@ -194,12 +196,30 @@
       case 17:
         AddDiscoveryFault(at);
         return;
+      case 19:
+      case 20:
+        Add(at, FaultKind::kCutShort, UniformTime(random_, kSecond, 6 * kSecond), 0.3);
+        return;
+      case 21:
+        Add(at, FaultKind::kSlowWrite, UniformTime(random_, kSecond, 4 * kSecond), 0.5);
+        return;
+      case 22:
+      case 23:
+        AddBadClients(at);
+        return;
       default:
         Add(at, FaultKind::kLeave);
         return;
     }
   }
 
+  void AddBadClients(Time at) {
+    static constexpr std::array<FaultKind, 5> kKinds = {FaultKind::kFlood, FaultKind::kSendAndLeave,
+                                                        FaultKind::kHalfBodies, FaultKind::kManyFields,
+                                                        FaultKind::kUnreadAnswers};
+    Add(at, kKinds[random_.Below(kKinds.size())], UniformTime(random_, kSecond, 4 * kSecond));
+  }
+
   // Adds a fault of discovery, and often a replica that drains during it or within 1 s after it.
   void AddDiscoveryFault(Time at) {
     static constexpr std::array<FaultKind, 3> kKinds = {FaultKind::kDark, FaultKind::kSilent,
@@ -272,7 +292,7 @@
   plan.idle_close = UniformTime(random, kSecond, 6 * kSecond);
   plan.clients = 4 + random.Below(16);
   if (random.Chance(0.2)) {
-    plan.crowd = 40;
+    plan.crowd = random.Chance(0.5) ? 40 : 300;
     plan.sockets = 160;
   }
   const std::size_t replicas = 2 + random.Below(8);
@@ -309,13 +329,10 @@
                       {"share", f.share}});
   }
   const Habits& h = p.habits;
-  const json habits = {{"fresh", h.fresh},
-                       {"leave", h.leave},
-                       {"half_close", h.half_close},
-                       {"partial", h.partial},
-                       {"pipeline", h.pipeline},
-                       {"slow_reader", h.slow_reader},
-                       {"little_time", h.little_time},
+  const json habits = {{"fresh", h.fresh},           {"leave", h.leave},
+                       {"half_close", h.half_close}, {"partial", h.partial},
+                       {"pipeline", h.pipeline},     {"slow_reader", h.slow_reader},
+                       {"id_again", h.id_again},     {"little_time", h.little_time},
                        {"think_us", h.think}};
   const json out = {{"seed", p.seed},
                     {"length_us", p.length},
@@ -365,10 +382,10 @@
     p.classes = ParseClassTable(in.at("classes"));
     p.other_classes = ParseClassTable(in.at("other_classes"));
     const json& h = in.at("habits");
-    p.habits = {h.at("fresh").get<double>(),       h.at("leave").get<double>(),
-                h.at("half_close").get<double>(),  h.at("partial").get<double>(),
-                h.at("pipeline").get<double>(),    h.at("slow_reader").get<double>(),
-                h.at("little_time").get<double>(), h.at("think_us").get<Time>()};
+    p.habits = {
+        h.at("fresh").get<double>(),    h.at("leave").get<double>(),       h.at("half_close").get<double>(),
+        h.at("partial").get<double>(),  h.at("pipeline").get<double>(),    h.at("slow_reader").get<double>(),
+        h.at("id_again").get<double>(), h.at("little_time").get<double>(), h.at("think_us").get<Time>()};
     for (const json& f : in.at("faults")) {
       Fault fault;
       fault.at = f.at("at_us").get<Time>();
--- a/lab/soak/plan.h
+++ b/lab/soak/plan.h
@@ -36,6 +36,14 @@
   kResetLinks,  // all connections are reset
   kResetUnder,  // the next requests are reset after their first bytes
   kTwice,       // answers are sent a second time, some milliseconds later
+  kCutShort,    // answers of `replica` end with the last chunk before they are complete
+  kSlowWrite,   // `replica` writes its events in pieces
+  // Faults of bad clients at `node`, for `duration`.
+  kFlood,          // one sends small and unsound requests at full speed, under ever new names
+  kSendAndLeave,   // each sends hundreds of requests at once and closes its connection
+  kHalfBodies,     // each stops half way through a large request
+  kManyFields,     // each sends a head of very many short fields
+  kUnreadAnswers,  // each sends a request and does not read the answer
   // Faults of discovery.
   kDark,      // discovery closes its watches, and closes every call without an answer
   kSilent,    // discovery accepts calls and never answers
@@ -68,6 +76,7 @@
   double partial = 0.01;      // the client stops in the middle of the request
   double pipeline = 0.02;     // the client writes a second request behind the first
   double slow_reader = 0.02;  // the client stops reading for 1 s
+  double id_again = 0.2;      // of the requests whose client closed its connection: their id comes again
   double little_time = 0.05;  // the request has a budget of only 20 to 60 ms
   Time think = 100'000;       // mean pause between requests, microseconds; also after a refusal
 };
--- a/lab/soak/run.cpp
+++ b/lab/soak/run.cpp
@@ -20,6 +20,7 @@
 #include "lab/fake_discovery.h"
 #include "lab/fake_replica.h"
 #include "lab/node_process.h"
+#include "lab/soak/bad_clients.h"
 #include "lab/soak/clients.h"
 #include "lab/soak/link_relay.h"
 
@@ -46,7 +47,8 @@
 // longer) plus 0.7 s.
 constexpr Time kMaxCountedDeadline = 3 * kSecond;
 constexpr Time kSigkillMargin = 700 * kMillisecond;
-constexpr int kCallTimeoutMs = 200;  // for reading a process's counters
+constexpr std::size_t kMemoryMb = 64;  // limit of each node
+constexpr int kCallTimeoutMs = 200;    // for reading a process's counters
 
 Time LongestDeadline(const ClassTable& table) {
   Time longest = 0;
@@ -92,6 +94,7 @@
       addresses.push_back(nodes_[n].listen);
     }
     clients_ = std::make_unique<SoakClients>(&run_, plan_, addresses);
+    bad_clients_ = std::make_unique<BadClients>(&run_, plan_, addresses);
   }
 
   ~PlanRunner() override {
@@ -103,6 +106,7 @@
       }
     }
     clients_->Close();
+    bad_clients_->Close();
     for (Node& node : nodes_) {
       node.links->Close();
       node.directory->Close();
@@ -192,6 +196,9 @@
       case lab::FakeAttemptEnd::kCompleted:
         a.end = AttemptEnd::kComplete;
         break;
+      case lab::FakeAttemptEnd::kCutShort:
+        a.end = AttemptEnd::kCutShort;
+        break;
       case lab::FakeAttemptEnd::kRejected:
         a.end = AttemptEnd::kRejected;
         break;
@@ -313,6 +320,7 @@
     config["name"] = fmt::format("n{}", n);
     config["management"] = management;
     config["limits"]["sockets"] = plan_.sockets;
+    config["limits"]["memory_mb"] = kMemoryMb;
     nlohmann::json& s = config["settings"];
     s["classes"] = ClassesJson(CurrentClasses(node));
     s["localities"] = zones;
@@ -334,6 +342,7 @@
     Process p;
     p.node = n;
     p.started = Now();
+    p.memory_limit = kMemoryMb << 20;
     history_.processes.push_back(p);
     run.management = cluster::FreeAddress(node.ip);
     lab::NodeFiles files;
@@ -377,6 +386,7 @@
       p.first_descriptors = run.process.OpenDescriptors();
       p.first_memory = run.process.ResidentBytes();
     }
+    p.peak_memory = std::max(p.peak_memory, run.process.PrivateBytes());
     if (run.process.IsRunning()) return;
     run.ended = true;
     p.ended = Now();
@@ -481,6 +491,12 @@
         return CloseIdle(f.replica, Now() + f.duration);
       case FaultKind::kLeave:
         return clients_->CloseEverySecondClient();
+      case FaultKind::kFlood:
+      case FaultKind::kSendAndLeave:
+      case FaultKind::kHalfBodies:
+      case FaultKind::kManyFields:
+      case FaultKind::kUnreadAnswers:
+        return bad_clients_->Start(f);
       case FaultKind::kLate:
       case FaultKind::kDelay:
       case FaultKind::kResetLinks:
@@ -625,9 +641,10 @@
 
   void ApplyReplicaFault(const Fault& f) {
     static const std::map<FaultKind, lab::Fault> kFaults = {
-        {FaultKind::kHang, lab::Fault::kSilent}, {FaultKind::kStall, lab::Fault::kStall},
-        {FaultKind::kBreak, lab::Fault::kBreak}, {FaultKind::kReset, lab::Fault::kResetBefore},
-        {FaultKind::kError, lab::Fault::kError}, {FaultKind::kReject, lab::Fault::kBusy}};
+        {FaultKind::kHang, lab::Fault::kSilent},       {FaultKind::kStall, lab::Fault::kStall},
+        {FaultKind::kBreak, lab::Fault::kBreak},       {FaultKind::kReset, lab::Fault::kResetBefore},
+        {FaultKind::kError, lab::Fault::kError},       {FaultKind::kReject, lab::Fault::kBusy},
+        {FaultKind::kCutShort, lab::Fault::kCutShort}, {FaultKind::kSlowWrite, lab::Fault::kSlowWrite}};
     lab::FakeReplicaOptions& o = replicas_[f.replica]->options();
     if (f.kind == FaultKind::kSlow) {
       o.first_token *= kSlowFactor;
@@ -655,6 +672,7 @@
     history_.end = Now();
     history_.requests = clients_->requests();
     history_.bad_clients = clients_->bad_clients();
+    history_.clients_that_left = bad_clients_->clients_that_left();
     PlayResult played;
     for (const Process& p : history_.processes) {
       for (const auto& run : nodes_[p.node].process_runs) {
@@ -678,6 +696,7 @@
   std::vector<lab::DiscoveryEntry> discovery_entries_;
   std::vector<Node> nodes_;
   std::unique_ptr<SoakClients> clients_;
+  std::unique_ptr<BadClients> bad_clients_;
   History history_;
   // The index of the latest attempt by node, replica and port.
   std::map<std::tuple<std::size_t, std::size_t, int>, std::size_t> by_port_;
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -337,6 +337,33 @@
   });
 }
 
+TEST(SoakChecker, ReportsStreamsCutShortIdsThatRunAgainAndWhatBadClientsCause) {
+  ExpectBroken("a stream cut short, ended as complete", {Rule::kContent}, [](HistoryBuilder& s) {
+    s.AddRequest("free"), s.AddAttempt(0, 10 * kSec), s.ServeByLastAttempt();
+    s.h.attempts.back().end = AttemptEnd::kCutShort;
+  });
+  for (const bool single : {true, false}) {
+    ExpectBroken("an id that comes again", single ? Rules{Rule::kRepeat} : Rules{}, [&](HistoryBuilder& s) {
+      for (const Time at : {10 * kSec, 12 * kSec}) {
+        ClientRequest& r = s.AddRequest(single ? "single" : "free", at);
+        r.id = "1", r.id_again = at > 10 * kSec, r.end = ClientEnd::kClientClosed;
+        s.AddAttempt(0, at);
+      }
+    });
+  }
+  for (const Time after : {140 * kMs, 160 * kMs}) {
+    ExpectBroken("a client that sent much and left", after > 150 * kMs ? Rules{Rule::kClientGone} : Rules{},
+                 [&](HistoryBuilder& s) {
+                   s.AddRequest("free").id = "bad1";
+                   s.AddAttempt(0, 10 * kSec + after);
+                   s.h.clients_that_left = {{0, 10 * kSec, "bad"}};
+                 });
+  }
+  ExpectBroken("memory", {Rule::kProcess}, [](HistoryBuilder& s) {
+    s.h.processes[0].memory_limit = 64 << 20, s.h.processes[0].peak_memory = (64 << 20) + 1;
+  });
+}
+
 TEST(SoakChecker, DoesNotBlameANodeForALagOfTheLab) {
   ExpectBroken("the lab lagged by 0.3 s", {}, [](HistoryBuilder& s) {
     s.h.lab_lags = {{11 * kSec, 11'300 * kMs}};
