Tell the other process of an upgrade what discovery tells this one

Cause: the list passes over once, with the state. Change: a process that has handed over writes each newer list to a file in $TMPDIR, which the new one looks at every 50 ms and takes if it is newer (HotRestart::PublishList, Discovery::AdoptList).

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -83,6 +83,7 @@
   options.paths.lease = AddressFilePath("lease", config);
   options.paths.state = AddressFilePath("state", config);
   options.paths.in_flight = AddressFilePath("out", config);
+  options.paths.list = AddressFilePath("list", config);
   options.sockets = SocketsOf(config);
   options.memory = BufferBytes(config);
   return options;
@@ -233,6 +234,12 @@
     return counts;
   }
 
+  std::uint64_t ListGeneration() const override { return discovery_.endpoints().generation(); }
+
+  std::string ExportList() const override { return discovery_.endpoints().Encode(); }
+
+  void AdoptSiblingList(const std::string& list) override { discovery_.AdoptList(list); }
+
   void HandOverClients() override {
     listener_.HandOver();
     if (openai_ != nullptr) openai_->listener().HandOver();
--- a/src/core/discovery.cpp
+++ b/src/core/discovery.cpp
@@ -37,6 +37,12 @@
   core_->events->Post(EndpointList{EndpointListScope::kCached, 0, {}});
 }
 
+void Discovery::AdoptList(const std::string& text) {
+  const auto list = ParseEndpointList(text, *core_->config);
+  if (!list || static_cast<std::uint64_t>(list->generation) <= endpoints_.generation()) return;
+  endpoints_.Apply(*list, EndpointListScope::kFull, "sibling");
+}
+
 void Discovery::Watch(bool enabled) {
   // The address may already have been switched, which the decision module does not know.
   if (enabled && (switch_poll_ != 0 || (watch_ != 0 && !address_is_new_))) return;
--- a/src/core/discovery.h
+++ b/src/core/discovery.h
@@ -31,6 +31,8 @@
   // Applies the list that the node knew last, which may be outdated or invalid. Must be called before any
   // other list is applied.
   void LoadCachedList(const std::string& list);
+  // Applies a list that another process of this node was told by the same discovery, if it is newer.
+  void AdoptList(const std::string& list);
   void Watch(bool enabled) override;
   void Poll() override;
   // Opens the watch, and opens it again shortly after it ends, for as long as the node runs. For the mode in
--- a/src/hot_restart/handover_state_codec.cpp
+++ b/src/hot_restart/handover_state_codec.cpp
@@ -19,6 +19,7 @@
 // First word of the header line of each stored form.
 constexpr std::string_view kStateMagic = "ryeglade-state";
 constexpr std::string_view kInFlightMagic = "ryeglade-out";
+constexpr std::string_view kListMagic = "ryeglade-list";
 
 constexpr std::size_t kMaxHeaderBytes = 100;
 constexpr std::size_t kMaxReplicas = 100'000;
@@ -121,6 +122,18 @@
   learned.first_token_by_bucket.clear();
 }
 
+std::string EncodeSiblingList(const std::string& list, std::int64_t sender) {
+  return AddHeader(kListMagic, sender, list);
+}
+
+std::optional<std::string> DecodeSiblingList(const std::string& text, std::int64_t sender) {
+  try {
+    return CheckAndRemoveHeader(kListMagic, text, sender);
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
 std::string EncodeInFlight(const InFlightCounts& counts, std::int64_t sender) {
   const std::vector<std::uint8_t> bytes = json::to_msgpack(json(counts));
   return AddHeader(kInFlightMagic, sender, {bytes.begin(), bytes.end()});
--- a/src/hot_restart/handover_state_codec.h
+++ b/src/hot_restart/handover_state_codec.h
@@ -40,6 +40,11 @@
 // because the indexes would then refer to other classes.
 void DropMismatchedClasses(const std::vector<std::string>& classes, HandoverState* state);
 
+// An endpoint list that the process `sender` was told after it had handed over.
+std::string EncodeSiblingList(const std::string& list, std::int64_t sender);
+// Returns nullopt if the text is truncated, corrupted, of another major version or from another process.
+std::optional<std::string> DecodeSiblingList(const std::string& text, std::int64_t sender);
+
 // Number of upstream requests that a process has in flight, by replica id.
 using InFlightCounts = std::vector<std::pair<std::uint32_t, int>>;
 // `sender` is the pid of the process that has these requests in flight.
--- a/src/hot_restart/hot_restart.cpp
+++ b/src/hot_restart/hot_restart.cpp
@@ -27,7 +27,9 @@
       policy_(Now(), sibling_.alive),
       state_file_(runtime->loop, options_.paths.state, [](const std::string&) {}),
       in_flight_file_(runtime->loop, options_.paths.in_flight,
-                      [this](const std::string& text) { OnSiblingInFlight(text); }) {
+                      [this](const std::string& text) { OnSiblingInFlight(text); }),
+      list_file_(runtime->loop, options_.paths.list,
+                 [this](const std::string& text) { OnSiblingList(text); }) {
   lease_.pid = getpid();
   lease_.started_at = policy_.started_at();
   lease_.socket_limit = options_.sockets;
@@ -55,11 +57,15 @@
   if (policy_.phase() == Phase::kStarting && sibling_.alive) TryRestoreState();
   Apply(policy_.Update(Now(), sibling_));
   if (closed_) return;
-  if (policy_.handed_over()) PublishInFlight();
+  if (policy_.handed_over()) {
+    PublishInFlight();
+    PublishList();
+  }
   const bool is_successor = policy_.phase() != Phase::kStarting && !policy_.handed_over();
   if (sibling_.alive && is_successor && !watches_in_flight_) {
     watches_in_flight_ = true;
     in_flight_file_.Watch(kInFlightWatchIntervalMs);
+    list_file_.Watch(kInFlightWatchIntervalMs);
   }
   UpdateLease();
   const Time interval = sibling_.alive ? kPollIntervalWithSibling : kPollIntervalAlone;
@@ -77,6 +83,13 @@
   in_flight_file_.Write(EncodeInFlight(published_in_flight_, lease_.pid));
 }
 
+// The other process may not have heard yet what discovery has told this one; but the node counts as told.
+void HotRestart::PublishList() {
+  if (port_->ListGeneration() == published_generation_) return;
+  published_generation_ = port_->ListGeneration();
+  list_file_.Write(EncodeSiblingList(port_->ExportList(), lease_.pid));
+}
+
 void HotRestart::TryRestoreState() {
   const auto text = state_file_.ReadNow();
   if (!text) return;
@@ -104,6 +117,7 @@
 void HotRestart::Apply(const Actions& actions) {
   if (actions.send_state) {
     Log(Level::kInfo, "hand-over-gives", {{"to", actions.state_recipient}});
+    published_generation_ = port_->ListGeneration();
     state_file_.Write(EncodeHandoverState(port_->ExportState(), actions.state_recipient));
   }
   if (actions.start_serving) {
@@ -163,6 +177,11 @@
   if (auto counts = DecodeInFlight(text, sibling_.lease->pid)) port_->SetSiblingInFlight(std::move(*counts));
 }
 
+void HotRestart::OnSiblingList(const std::string& text) {
+  if (!sibling_.lease || policy_.handed_over()) return;
+  if (const auto list = DecodeSiblingList(text, sibling_.lease->pid)) port_->AdoptSiblingList(*list);
+}
+
 std::int64_t HotRestart::SiblingPid() const { return sibling_.lease ? sibling_.lease->pid : 0; }
 
 void HotRestart::Terminate() {
@@ -176,6 +195,7 @@
   runtime_->deadlines->Cancel(poll_timer_);
   state_file_.Close();
   in_flight_file_.Close();
+  list_file_.Close();
 }
 
 }  // namespace ryeglade::hot_restart
--- a/src/hot_restart/hot_restart.h
+++ b/src/hot_restart/hot_restart.h
@@ -22,6 +22,9 @@
   virtual void SetSiblingInFlight(InFlightCounts counts) = 0;  // empty: none in flight, or no sibling
   virtual HandoverState ExportState() = 0;                     // the state to hand over to the new process
   virtual InFlightCounts CountInFlight() = 0;                  // upstream requests in flight at this process
+  virtual std::uint64_t ListGeneration() const = 0;            // of the endpoint list in use
+  virtual std::string ExportList() const = 0;                  // that list, as ExportState names it
+  virtual void AdoptSiblingList(const std::string& list) = 0;  // if it is newer than the one in use
   virtual void HandOverClients() = 0;                          // the sibling serves: accept no new clients
   virtual void ResumeClients() = 0;             // the sibling no longer serves: accept clients again
   virtual std::size_t UsedSockets() const = 0;  // descriptors in use or reserved
@@ -35,6 +38,7 @@
   std::string lease;      // without the "-0" or "-1" that LeaseFile appends
   std::string state;      // the state that the old process hands over
   std::string in_flight;  // the requests that the old process still has in flight
+  std::string list;       // the latest endpoint list that the old process was told
 };
 
 struct HotRestartOptions {
@@ -62,7 +66,9 @@
   void UpdateLease();
   void TryRestoreState();
   void PublishInFlight();
+  void PublishList();
   void OnSiblingInFlight(const std::string& text);
+  void OnSiblingList(const std::string& text);
   std::int64_t SiblingPid() const;
   ShareRequest MakeShareRequest() const;
 
@@ -74,10 +80,12 @@
   HotRestartPolicy policy_;
   StateFile state_file_;
   StateFile in_flight_file_;
+  StateFile list_file_;
   Lease lease_;  // this process's lease, as last written
   Time lease_written_at_ = 0;
   Time in_flight_published_at_ = 0;
   InFlightCounts published_in_flight_;
+  std::uint64_t published_generation_ = 0;  // of the list that the other process was given last
   bool watches_in_flight_ = false;
   bool closed_ = false;
   DeadlineId poll_timer_;
--- a/tests/adverse_peers.cpp
+++ b/tests/adverse_peers.cpp
@@ -156,6 +156,32 @@
   std::filesystem::remove_all(tmpdir);
 }
 
+// During an upgrade, discovery tells the old process that a replica drains and does not answer the new one:
+// the new one sends nothing to that replica either.
+void DrainToldToTheOldProcess() {
+  const ScriptedServer discovery, draining, ready;
+  char tmpdir[] = "/tmp/ryeglade-test-tmp-XXXXXX";
+  assert(mkdtemp(tmpdir) != nullptr);
+  const nlohmann::json shared = {{"listen", ScriptedServer().address()}, {"_tmpdir", tmpdir}};
+  {
+    std::future<Connection> first_watch = AnswerWatchAtStart(discovery, EndpointListJson(2, false, {}));
+    const Node old_process(program, ListOf(draining), discovery.address(), "push", 1024, 192, "", false,
+                           shared);
+    Connection watch = first_watch.get();
+    const Node next(program, ListOf(draining), discovery.address(), "push", 1024, 192, "", false, shared);
+    old_process.WaitForLog("hand-over-yields");
+    const std::vector<nlohmann::json> changes = {InstanceJson("s-a", draining.address(), "leaving"),
+                                                 InstanceJson("s-b", ready.address())};
+    watch.SendChunk(EndpointListJson(3, false, changes).dump() + "\n");
+    old_process.WaitForLog("generation=3");
+    usleep(750'000);
+    Connection client = next.Connect();
+    ServeOne(ready, client);
+    assert(!draining.HasConnectionWithin(0));
+  }
+  std::filesystem::remove_all(tmpdir);
+}
+
 // A replica gets another address while a connection to its old one comes up late: nothing is written there,
 // as another process may have the address by now.
 void AddressChangesWhileConnecting() {
@@ -252,6 +278,7 @@
       {"abandoned-request", SlowReaderOfAnAbandonedRequest},
       {"id-comes-again", IdComesAgain},
       {"id-at-the-other-process", IdAtTheOtherProcess},
+      {"drain-told-to-the-old-process", DrainToldToTheOldProcess},
       {"address-changes-while-connecting", AddressChangesWhileConnecting},
       {"new-replica-at-an-old-address", NewReplicaAtAnOldAddress}};
   signal(SIGPIPE, SIG_IGN);
