Evict clients that have stopped within a request after 0.2 s without a byte

Cause: a connection with part of a request made room only 0.5 s after its start, whether it was still being written or not. Change: it makes room 0.2 s after its last byte; one that is still being written keeps its place for longer.

--- a/src/http/downstream.cpp
+++ b/src/http/downstream.cpp
@@ -19,9 +19,9 @@
 constexpr std::size_t kMaxUnsentWhenShort = std::size_t{16} * 1024;  // while the memory budget is half used
 // Times in microseconds.
 constexpr Time kIdleTimeout = 60'000'000;  // a connection without a further request for this long is closed
-constexpr Time kEvictableAfter = 500'000;  // without a complete request for this long, it may be evicted
-constexpr Time kSilentEvictableAfter = 10'000;  // the same for one that has not sent a byte
-constexpr Time kSilentEvictableForRequest = 0;  // the same in favor of a complete request
+constexpr Time kStalledEvictableAfter = 200'000;  // part of a request, and no further byte for this long
+constexpr Time kSilentEvictableAfter = 10'000;    // no byte at all for this long
+constexpr Time kSilentEvictableForRequest = 0;    // the same in favor of a complete request
 constexpr Time kWriteTimeout = 10'000'000;  // a congested client that reads nothing for this long is dropped
 constexpr Time kLingerTimeout = 1'000'000;  // from a connection's last response to its closing
 constexpr Time kIdleSweepInterval = 50'000;
@@ -89,8 +89,8 @@
 // Keeps the process from running out of descriptors. Closes, in this order of preference: a lingering
 // connection whose last response is sent; one that has not sent a byte, since clients send their request as
 // soon as they are connected, and it may be anywhere behind such connections; the connection that has been
-// idle longest after a response, since HTTP allows closing between requests; a connection without a complete
-// request for long. Returns false if there is no capacity for another served connection.
+// idle longest after a response, since HTTP allows closing between requests; one whose client has stopped in
+// the middle of a request. Returns false if there is no capacity for another served connection.
 bool Downstream::EvictConnection(Time silent_for) {
   if (clients_.size() < max_served_) return true;
   for (int attempt = 0; attempt < kMaxEvictionAttempts; ++attempt) {
@@ -126,7 +126,7 @@
   if (silent && Now() - client.idle_since >= silent_for) return {1, client.idle_since};
   if (client.used && IsIdle(client)) return {2, client.idle_since};
   const bool unfinished = client.state == State::kReading;
-  if (unfinished && Now() - client.idle_since >= kEvictableAfter) return {3, client.idle_since};
+  if (unfinished && Now() - client.last_read_at >= kStalledEvictableAfter) return {3, client.last_read_at};
   return {};
 }
 
@@ -333,7 +333,8 @@
 void Downstream::OnRead(Handle handle, std::string_view bytes) {
   Client* client = clients_.Get(handle);
   if (client == nullptr || client->state == State::kLingering) return;
-  client->input.Append(bytes, Now());
+  client->last_read_at = Now();
+  client->input.Append(bytes, client->last_read_at);
   if (client->state != State::kResponding) return ParseInput(handle);
   if (client->input.full()) PauseOverrun(handle);
 }
--- a/src/http/downstream.h
+++ b/src/http/downstream.h
@@ -123,6 +123,7 @@
     bool excess = false;     // accepted above the number of served connections: gets only an error response
     bool congested = false;  // the front was told to stop sending
     Time idle_since = 0;     // when the connection was opened, last sent a response or had input waiting
+    Time last_read_at = 0;   // when bytes were last read
     CloseReason close_reason = CloseReason::kResponseSent;  // used while the connection lingers
     DeadlineId deadline;                                    // of the current state
   };
