Soak: judge ids that come again and descriptors beside bad clients by what is allowed

Change: an id has run again only if an attempt began after the second sending; the bound on descriptors grows by two for each bad client that was connected. Both edges are histories in soak_test.cpp.

--- a/lab/soak/bad_clients.h
+++ b/lab/soak/bad_clients.h
@@ -24,8 +24,8 @@
   BadClients(const BadClients&) = delete;
   BadClients& operator=(const BadClients&) = delete;
 
-  // Plays a fault of bad clients at its node, until its duration is over.
-  void Start(const Fault& fault);
+  // Plays a fault of bad clients at its node, until its duration is over. Returns the number of clients.
+  std::size_t Start(const Fault& fault);
   void Close();  // closes all connections
 
   const std::vector<ClientThatLeft>& clients_that_left() const { return clients_that_left_; }
--- a/lab/soak/history_model.h
+++ b/lab/soak/history_model.h
@@ -143,6 +143,13 @@
   bool answered = false;      // the node sent some bytes before the end
 };
 
+// Bad clients that were connected to a node at once.
+struct BadCrowd {
+  std::size_t node = 0;
+  Time from = 0, to = 0;
+  std::size_t clients = 0;
+};
+
 // A client that sent many requests at once and closed its connection.
 struct ClientThatLeft {
   std::size_t node = 0;
@@ -164,6 +171,7 @@
   std::vector<DiscoveryChange> discovery_changes;
   std::vector<LinkFault> link_faults;
   std::vector<BadClient> bad_clients;
+  std::vector<BadCrowd> bad_crowds;
   std::vector<ClientThatLeft> clients_that_left;
 };
 
--- a/lab/soak/run.cpp
+++ b/lab/soak/run.cpp
@@ -42,7 +42,10 @@
 constexpr Time kFinishTimeout = 12 * kSecond;
 constexpr Time kLinkDelay = 60 * kMillisecond;
 constexpr int kResetRequestCount = 3;  // requests that one `reset-under` fault resets
-constexpr int kSlowFactor = 8;         // by which `slow` lengthens the time to the first token
+// How long after the end of bad clients a node may still hold their connections and those to replicas for
+// them.
+constexpr Time kBadClientsLinger = 1 * kSecond;
+constexpr int kSlowFactor = 8;  // by which `slow` lengthens the time to the first token
 // PROTOCOL: SIGKILL comes after SIGTERM, no sooner than the longest deadline (which counts as 3 s if it is
 // longer) plus 0.7 s.
 constexpr Time kMaxCountedDeadline = 3 * kSecond;
@@ -496,7 +499,9 @@
       case FaultKind::kHalfBodies:
       case FaultKind::kManyFields:
       case FaultKind::kUnreadAnswers:
-        return bad_clients_->Start(f);
+        history_.bad_crowds.push_back(
+            {f.node, Now(), Now() + f.duration + kBadClientsLinger, bad_clients_->Start(f)});
+        return;
       case FaultKind::kLate:
       case FaultKind::kDelay:
       case FaultKind::kResetLinks:
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -359,6 +359,22 @@
                    s.h.clients_that_left = {{0, 10 * kSec, "bad"}};
                  });
   }
+  for (const bool again : {false, true}) {
+    ExpectBroken("an id that comes again just after its attempt", again ? Rules{Rule::kRepeat} : Rules{},
+                 [&](HistoryBuilder& s) {
+                   s.AddRequest("single", 13 * kSec - 200 * kMs).end = ClientEnd::kClientClosed;
+                   s.AddAttempt(0, 13 * kSec - (again ? 100 : 45) * kMs);
+                   ClientRequest& r = s.AddRequest("single", 13 * kSec);
+                   r.id = "1", r.id_again = true, r.end = ClientEnd::kFailed;
+                   if (again) s.AddAttempt(0, 13 * kSec);
+                 });
+  }
+  for (const std::size_t clients : {120, 40}) {
+    ExpectBroken("descriptors", clients == 120 ? Rules{} : Rules{Rule::kProcess}, [&](HistoryBuilder& s) {
+      s.h.processes[0].last_descriptors = 244;
+      s.h.bad_crowds = {{0, 89 * kSec, 91 * kSec, clients / 2}};
+    });
+  }
   ExpectBroken("memory", {Rule::kProcess}, [](HistoryBuilder& s) {
     s.h.processes[0].memory_limit = 64 << 20, s.h.processes[0].peak_memory = (64 << 20) + 1;
   });
