--- a/tests/greedy_peers.cpp
+++ b/tests/greedy_peers.cpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <future>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <thread>
 
@@ -385,6 +386,62 @@
   assert(node.most_kb() - before_kb < kClients * kMostKbForEach);
 }
 
+// Clients read long answers slowly, which a replica writes at full speed. Guards against
+// answers that pile up in the node, and against usual streams that are cut because of them.
+void SlowReadersOfLongAnswers() {
+  const ScriptedServer long_replica;
+  const WatchedNode node(EndpointListJson(1, true, {InstanceJson("s-long", long_replica.address())}));
+  std::atomic<int> begun{0};
+  Threads threads;
+  threads.Start([&](const std::atomic<bool>& stop) {
+    Threads writers;
+    while (!stop) {
+      if (!long_replica.HasConnectionWithin(20)) continue;
+      auto connection = std::make_shared<Connection>(long_replica.Accept());
+      writers.Start([connection, &begun](const std::atomic<bool>& end) {
+        std::string request;
+        connection->ReadMessage(&request);
+        const bool is_long = Contains(request, "long");
+        ++begun;
+        std::string answer = kStreamHead;
+        const std::string event = "data: " + std::string(8'000, 'x') + "\n\n";
+        char size[16];
+        std::snprintf(size, sizeof size, "%zx\r\n", event.size());
+        for (int n = 0; n < (is_long ? 500 : 1); ++n) answer += size + event + "\r\n";
+        answer += kStreamEnd;
+        for (std::size_t sent = 0; sent < answer.size() && !end;) {
+          const ssize_t n =
+              send(connection->fd(), answer.data() + sent, answer.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+          if (n > 0) sent += static_cast<std::size_t>(n);
+          if (n < 0 && errno != EAGAIN) return;
+          if (n <= 0) usleep(2'000);
+        }
+      });
+    }
+  });
+  std::vector<Connection> slow;
+  for (int n = 0; n < BadClients(); ++n) {
+    slow.push_back(ConnectTo(node.port(), 4'096));
+    slow.back().Send(RequestText(std::to_string(1'000 + n), "{\"long\"}"));
+  }
+  const auto end = Clock::now() + std::chrono::seconds(5);
+  int answered = 0, asked = 0;
+  for (int id = 1; Clock::now() < end; ++id) {
+    for (Connection& client : slow) {
+      char some[512];
+      recv(client.fd(), some, sizeof some, MSG_DONTWAIT);
+    }
+    Connection usual = node.Connect();
+    usual.Send(RequestText(std::to_string(id), "{}", "2.000"));
+    ++asked;
+    answered += usual.ReadUntilOrEnd("0\r\n\r\n").ends_with("0\r\n\r\n");
+  }
+  std::printf("%d of %d usual requests served, %d begun, at most %ld KiB of %d MiB\n", answered, asked,
+              begun.load(), node.most_kb(), memory_mb);
+  node.CheckMemory();
+  assert(answered == asked);
+}
+
 // Clients send most of a large body and then nothing. Guards against incomplete requests that use the buffers
 // up, so that the usual client is refused until they time out.
 void UnfinishedBodies() {
@@ -527,6 +584,7 @@
                                                        {"silent-crowd", SilentCrowd},
                                                        {"heads", HeadsOfShortFields},
                                                        {"unread-answers", UnreadAnswers},
+                                                       {"long-answers", SlowReadersOfLongAnswers},
                                                        {"unfinished-bodies", UnfinishedBodies},
                                                        {"first-events", EndlessFirstEvents},
                                                        {"lists", HugeLists},
