--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -369,7 +369,7 @@
                    if (again) s.AddAttempt(0, 13 * kSec);
                  });
   }
-  for (const std::size_t clients : {120, 40}) {
+  for (const std::size_t clients : {std::size_t{120}, std::size_t{40}}) {
     ExpectBroken("descriptors", clients == 120 ? Rules{} : Rules{Rule::kProcess}, [&](HistoryBuilder& s) {
       s.h.processes[0].last_descriptors = 244;
       s.h.bad_crowds = {{0, 89 * kSec, 91 * kSec, clients / 2}};
