A known replica that moves to another one's address shares it

Cause: AddressOwners took each replica that appeared at an address for its new owner, also a known one that a list moved there.

--- a/src/core/address_owners_model.cpp
+++ b/src/core/address_owners_model.cpp
@@ -10,13 +10,14 @@
 
 std::set<ReplicaId> AddressOwners::Add(ReplicaId id, const std::string& host_port) {
   const auto known = addresses_.find(id);
-  if (known != addresses_.end() && known->second == host_port) return {};
+  const bool is_new = known == addresses_.end();
+  if (!is_new && known->second == host_port) return {};
   Forget(id);
   addresses_[id] = host_port;
   Owners& owners = owners_[host_port];
   std::set<ReplicaId> lost;
-  if (owners.list != list_) lost = std::exchange(owners.replicas, {});
-  owners.list = list_;
+  if (is_new && owners.list != list_) lost = std::exchange(owners.replicas, {});
+  if (is_new) owners.list = list_;
   owners.replicas.insert(id);
   return lost;
 }
