--- a/review/common-2/kit.h
+++ b/review/common-2/kit.h
@@ -387,6 +387,8 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     gate_ = std::move(gate);
   }
+  // While it is down, calls and open watches end with a reset.
+  void SetDown(bool down) { down_ = down; }
   void SetList(int generation, std::vector<Instance> instances) {
     const std::lock_guard<std::mutex> lock(mutex_);
     generation_ = generation;
@@ -414,6 +416,7 @@
       while (!TakeHead(&buffer, &head)) {
         if (ReadMore(fd, &buffer, Now() + 120) != 1) return;
       }
+      if (down_) return Reset(fd);
       const bool watch = head.line.find("follow=1") != std::string::npos;
       const char* kind = watch ? "watch" : "list";
       Gate gate;
@@ -444,12 +447,19 @@
     }
   }
 
+  // The caller closes the socket.
+  static void Reset(int fd) {
+    const linger now{1, 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+  }
+
   void Follow(int fd, int generation) {
     double last = Now();
     for (;;) {
       Sleep(0.02);
       pollfd look{fd, POLLIN | POLLRDHUP, 0};
       if (poll(&look, 1, 0) > 0) return;  // the node has closed it
+      if (down_) return Reset(fd);
       int current;
       const std::string list = Current(&current);
       if (current != generation) {
@@ -474,6 +484,7 @@
   Record* record_;
   mutable std::mutex mutex_;
   Gate gate_;
+  std::atomic<bool> down_{false};
   int generation_ = 1;
   std::vector<Instance> instances_;
   std::map<int, double> told_;
