--- a/review/common-2/kit.h
+++ b/review/common-2/kit.h
@@ -569,13 +569,15 @@
 // One process of a node, started as the deploy file says.
 class Node {
  public:
-  Node(const NodeSettings& settings, const std::string& folder, const std::string& log_name)
+  // `more` is added to the line `run`.
+  Node(const NodeSettings& settings, const std::string& folder, const std::string& log_name,
+       const std::string& more = "")
       : settings_(settings) {
     const std::string config = folder + "/" + log_name + ".json";
     std::ofstream(config) << ConfigJson(settings);
     const std::string temporary = folder + "/tmp-" + settings.name;
     mkdir(temporary.c_str(), 0700);
-    const std::string run = RunLine();
+    const std::string run = RunLine() + more;
     const std::string log = folder + "/" + log_name + ".log";
     started_ = Now();
     pid_ = fork();
