--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+. "$(dirname "$0")/../common-2/run.sh"
