--- a/review/6/trial.cpp
+++ b/review/6/trial.cpp
@@ -1,32 +1,65 @@
-// Operators take two replicas out while a node's process is replaced: one by a call to the old process, the
-// other by a call to the new one.
+// An operator takes replicas out by hand, one call after another, while a node's process is replaced: each
+// call goes to the old process until the new one says yes, and to the new one from then on.
 #include "kit.h"
 
 namespace {
 
 using namespace kit;
 
-constexpr double kGrace = 0.75;  // obligations.drain-grace
-constexpr double kSlack = 0.05;  // "every time limit is longer by 50 ms"
-constexpr double kWatchFor = 5;  // seconds from the calls to the end
+constexpr int kReplicas = 90;
+constexpr int kMostOut = 30;  // at most in one upgrade
+constexpr int kUpgrades = 3;
+constexpr double kKillAfter = 3.7;   // from SIGTERM: the longest deadline, counted as 3 s, plus 0.7 s
+constexpr int kCallsToNew = 3;       // the operator stops after so many calls to the new process
+constexpr double kCallEvery = 0.01;  // seconds between two calls, as a loop of curl sends them
+constexpr double kGrace = 0.75;      // obligations.drain-grace
+constexpr double kSlack = 0.05;      // "every time limit is longer by 50 ms"
+constexpr double kWatchFor = 5;      // seconds from the last call to the end
 
-// Returns the number of attempts that came to `replica` too late after the node's yes.
-int LateAttempts(const Replica& replica, double yes, Record* record) {
-  int late = 0;
-  for (const Attempt& attempt : replica.AttemptsAfter(yes + kGrace + kSlack)) {
-    if (++late <= 3)
-      record->Line("broken: %s came to %s %.3f s after the yes", attempt.id.c_str(), attempt.replica.c_str(),
-                   attempt.at - yes);
+struct Call {
+  const Replica* replica;
+  bool to_new;
+  double yes;  // when the node had answered it with 2xx
+};
+
+// Returns whether attempts came to the call's replica too late after the node's yes.
+bool Broken(const Call& call, Record* record) {
+  const std::vector<Attempt> late = call.replica->AttemptsAfter(call.yes + kGrace + kSlack);
+  record->Line("%s, taken out at the %s process: %zu attempts later than %.2f s after the yes%s%s",
+               call.replica->name().c_str(), call.to_new ? "new" : "old", late.size(), kGrace + kSlack,
+               late.empty() ? "" : ", broken, the first is ", late.empty() ? "" : late.front().id.c_str());
+  return !late.empty();
+}
+
+// Takes replicas out, one call after another, from `*next` on. `new_process` is being started, or null.
+void TakeOut(const Node& old_process, const Node* new_process, const std::vector<Replica*>& replicas,
+             std::size_t* next, std::vector<Call>* calls, Record* record) {
+  bool new_says_yes = false;
+  int to_old = 0, to_new = 0;
+  while (to_old + to_new < kMostOut && to_new < kCallsToNew) {
+    const double next_at = Now() + kCallEvery;
+    if (new_process != nullptr && !new_says_yes && new_process->Manage("GET", "/control/ready") == 200) {
+      new_says_yes = true;
+      record->Line("the new process says yes");
+    }
+    const Replica* replica = replicas[(*next)++];
+    const Node& process = new_says_yes ? *new_process : old_process;
+    if (process.Manage("POST", "/control/model-replicas/" + replica->name() + "/offline") / 100 != 2)
+      CannotRun("no to " + replica->name());
+    calls->push_back({replica, new_says_yes, Now()});
+    ++(new_says_yes ? to_new : to_old);
+    record->Line("%s offline: yes from the %s process", replica->name().c_str(),
+                 new_says_yes ? "new" : "old");
+    SleepUntil(next_at);
   }
-  record->Line("%s: %d attempts later than %.2f s after the yes", replica.name().c_str(), late,
-               kGrace + kSlack);
-  return late;
+  if (new_process != nullptr && (to_old == 0 || to_new < kCallsToNew))
+    CannotRun("the calls did not go to both processes");
 }
 
 int Run(Record* record) {
   std::vector<Replica*> replicas;
   std::vector<Instance> instances;
-  for (int n = 1; n <= 5; ++n) {
+  for (int n = 1; n <= kReplicas; ++n) {
     replicas.push_back(new Replica("s-" + std::to_string(n), record));
     instances.push_back({replicas.back()->name(), replicas.back()->address()});
   }
@@ -39,36 +72,39 @@
   settings.management = FreePort();
   settings.discovery = discovery->address();
   settings.known = discovery->Known();
-  Node old_process(settings, folder.path(), "old");
-  if (!old_process.WaitReady(10)) CannotRun("the node is not ready: " + old_process.Log());
-  Clients clients(settings.port, 6, 0.05, record);
-  Sleep(3);
+  auto process = std::make_unique<Node>(settings, folder.path(), "process-0");
+  if (!process->WaitReady(10)) CannotRun("the node is not ready: " + process->Log());
+  Clients clients(settings.port, 12, 0.03, record);
+  Sleep(2);
 
-  settings.management = FreePort();
-  std::unique_ptr<Node> new_process;
-  if (!Calm()) {
-    new_process = std::make_unique<Node>(settings, folder.path(), "new");
-    if (!new_process->WaitReady(6)) CannotRun("the new process is not ready: " + new_process->Log());
-    record->Line("the new process says yes");
-  }
-  const Node& second = new_process ? *new_process : old_process;
-  if (old_process.Manage("POST", "/control/model-replicas/s-1/offline") / 100 != 2) CannotRun("no to s-1");
-  const double yes_1 = Now();
-  record->Line("yes to s-1 offline");
-  if (second.Manage("POST", "/control/model-replicas/s-2/offline") / 100 != 2) CannotRun("no to s-2");
-  const double yes_2 = Now();
-  record->Line("yes to s-2 offline");
-  if (new_process) {
+  std::vector<Call> calls;
+  std::size_t next = 0;
+  for (int n = 1; n <= kUpgrades; ++n) {
+    if (Calm()) {
+      TakeOut(*process, nullptr, replicas, &next, &calls, record);
+      Sleep(2);
+      continue;
+    }
+    record->Line("a new process is started");
+    settings.management = FreePort();
+    auto new_process = std::make_unique<Node>(settings, folder.path(), "process-" + std::to_string(n));
+    TakeOut(*process, new_process.get(), replicas, &next, &calls, record);
     Sleep(1);
-    old_process.Signal(SIGTERM);
+    process->Signal(SIGTERM);
     record->Line("SIGTERM to the old process");
+    const double kill_at = Now() + kKillAfter;
+    int status = 0;
+    while (Now() < kill_at && !process->Ended(&status)) Sleep(0.02);
+    process = std::move(new_process);
   }
-  SleepUntil(yes_2 + kWatchFor);
+  Sleep(kWatchFor);
   clients.Stop();
-  if (clients.served() < 50) CannotRun("hardly a request was served");
-  const int late = LateAttempts(*replicas[0], yes_1, record) + LateAttempts(*replicas[1], yes_2, record);
-  record->Line("served %d, other %d: %s", clients.served(), clients.other(), late > 0 ? "broken" : "held");
-  return late > 0 ? 1 : 0;
+  if (clients.served() < 200) CannotRun("hardly a request was served");
+  int broken = 0;
+  for (const Call& call : calls) broken += Broken(call, record) ? 1 : 0;
+  record->Line("served %d, other %d; %d of %zu replicas used on: %s", clients.served(), clients.other(),
+               broken, calls.size(), broken > 0 ? "broken" : "held");
+  return broken > 0 ? 1 : 0;
 }
 
 }  // namespace
