--- a/review/9/trial.cpp
+++ b/review/9/trial.cpp
@@ -1,62 +1,84 @@
-// A bad client sends a body in chunks of which one has a wrong length. It is owed an error or a close.
+// A planned restart while answers run at the OpenAI-style address, where clients do not ask for the rest of a
+// stream. The answers would end by themselves before SIGKILL.
 #include "kit.h"
 
 namespace {
 
 using namespace kit;
 
-std::string ChunkedRequest(const std::string& id, const std::string& chunks) {
-  return "POST /v1/chat/completions HTTP/1.1\r\nHost: service.internal\r\nX-Call-Id: " + id +
-         "\r\nX-Call-Class: docs\r\nX-Budget: 2.000\r\nContent-Type: application/json\r\n"
-         "Transfer-Encoding: chunked\r\n\r\n" +
-         chunks;
+constexpr int kStreams = 8;
+constexpr double kTerminateAfter = 0.3;  // from the requests to SIGTERM
+constexpr double kKillAfter = 3.7;       // from SIGTERM: the longest deadline, counted as 3 s, plus 0.7 s
+constexpr int kEvents = 38;
+constexpr double kGap = 0.1;  // the last event comes 3.45 s after SIGTERM
+
+std::string OpenAiRequest() {
+  const std::string body =
+      "{\"model\":\"bid-assist\",\"stream\":true,\"max_tokens\":400,\"messages\":[{\"role\":\"user\","
+      "\"content\":"
+      "\"which rule holds at the gate\"}]}";
+  return "POST /v1/chat/completions HTTP/1.1\r\nHost: service.internal\r\nContent-Type: application/json\r\n"
+         "Content-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 int Run(Record* record) {
-  auto* replica = new Replica("s-1", record);
+  std::vector<Instance> instances;
+  for (int n = 1; n <= 3; ++n) {
+    auto* replica = new Replica("s-" + std::to_string(n), record, 0.02, kEvents, kGap);
+    instances.push_back({replica->name(), replica->address()});
+  }
   auto* discovery = new Discovery(record);
-  discovery->SetList(41, {{replica->name(), replica->address()}});
+  discovery->SetList(41, instances);
   const TemporaryFolder folder;
   NodeSettings settings;
   settings.port = FreePort();
   settings.discovery = discovery->address();
   settings.known = discovery->Known();
-  const Node node(settings, folder.path(), "node");
+  const int port = FreePort();
+  const std::string file = folder.path() + "/openai.toml";
+  std::ofstream(file) << "[openai]\nlisten = \"127.0.0.1:" << port
+                      << "\"\n\n[[openai.model]]\nid = \"bid-assist\"\nclass = \"docs\"\n";
+  Node node(settings, folder.path(), "node", " --settings " + file);
   if (!node.WaitHealthy(10)) CannotRun("the node is not ready: " + node.Log());
+  Sleep(0.5);
 
-  // The text of the message ends with figures, so that a length that is too small by 2 and more leaves a
-  // rest which reads like the size of a further chunk.
-  const std::string body = Body();
-  const std::string with_figures = "{\"content\":\"gate 17\"} 12340";
-  char size[16];
-  std::snprintf(size, sizeof size, "%zx", body.size());
-  std::vector<std::pair<std::string, std::string>> bad = {
-      {"two bytes more than the length says", std::string(size) + "\r\n" + body + "}}0\r\n\r\n"},
-      {"three bytes more, at the end of the body", "18\r\n" + with_figures + "\r\n\r\n"},
-  };
-  if (Calm()) {
-    std::snprintf(size, sizeof size, "%zx", with_figures.size());
-    bad = {{"the right length", std::string(size) + "\r\n" + with_figures + "\r\n0\r\n\r\n"}};
+  std::atomic<int> begun{0}, whole{0};
+  std::vector<std::thread> clients;
+  for (int n = 0; n < kStreams; ++n) {
+    clients.emplace_back([&, n] {
+      const int fd = ConnectTo(port);
+      record->Line("client %d sends its request", n);
+      std::string buffer;
+      Answer answer;
+      if (fd >= 0 && SendAll(fd, OpenAiRequest())) answer = ReadAnswer(fd, &buffer, Now() + 10);
+      const bool done = answer.body.find("data: [DONE]") != std::string::npos;
+      if (answer.status == 200) ++begun;
+      if (answer.status == 200 && answer.complete && done) ++whole;
+      const std::size_t end = answer.body.rfind("data: ");
+      record->Line("client %d: status %d, %s, last line %s", n, answer.status,
+                   answer.complete && done ? "whole" : "cut off",
+                   end == std::string::npos
+                       ? "-"
+                       : answer.body.substr(end, answer.body.find('\n', end) - end).c_str());
+      if (fd >= 0) close(fd);
+    });
   }
-  int wrong = 0;
-  for (const auto& [what, chunks] : bad) {
-    const std::string id = NewId();
-    const std::size_t before = replica->attempts().size();
-    const int fd = ConnectTo(settings.port);
-    record->Line("sent %s: %s", id.c_str(), what.c_str());
-    std::string buffer;
-    Answer answer;
-    if (fd >= 0 && SendAll(fd, ChunkedRequest(id, chunks))) answer = ReadAnswer(fd, &buffer, Now() + 4);
-    if (fd >= 0) close(fd);
-    const std::vector<Attempt> attempts = replica->attempts();
-    const std::string ran = attempts.size() > before ? attempts.back().body : "";
-    record->Line("answered %s status %d; run at a replica: '%s'", id.c_str(), answer.status, ran.c_str());
-    if (Calm() && answer.status != 200) CannotRun("a sound request in chunks is not served");
-    if (!Calm() && answer.status == 200) ++wrong;
+  Sleep(kTerminateAfter);
+  const double terminated = Now();
+  if (!Calm()) {
+    node.Signal(SIGTERM);
+    record->Line("SIGTERM");
   }
-  record->Line("%d of %zu served as though they had been sound: %s", wrong, bad.size(),
-               wrong > 0 ? "broken" : "held");
-  return wrong > 0 ? 1 : 0;
+  int status = 0;
+  if (Calm()) SleepUntil(terminated + kKillAfter + 0.5);
+  while (!Calm() && Now() < terminated + kKillAfter && !node.Ended(&status)) Sleep(0.01);
+  record->Line("%.2f s after SIGTERM", Now() - terminated);
+  if (!Calm()) node.Kill();
+  for (std::thread& client : clients) client.join();
+  if (begun < kStreams) CannotRun("not all streams began");
+  record->Line("%d of %d streams whole: %s", whole.load(), kStreams, whole < kStreams ? "broken" : "held");
+  return whole < kStreams ? 1 : 0;
 }
 
 }  // namespace
--- a/review/common-2/kit.h
+++ b/review/common-2/kit.h
@@ -502,6 +502,7 @@
   std::string mode = "ask";  // or "push"
   int drain_grace_us = 750000;
   std::string docs_effect = "free";
+  int docs_deadline_us = 5000000;
   bool resume = true;
   int memory_mb = 192;
   int sockets = 1024;
@@ -525,8 +526,8 @@
          "\",\"localities\":[\"seoul\",\"daejeon\",\"busan\"],\"shapes\":[\"gen3\",\"gen2\",\"gen1\"],"
          "\"weights\":\"rough\",\"stats\":{\"how\":\"probe\",\"fields\":[\"qps\",\"queue\",\"x0\"]},"
          "\"classes\":[" +
-         class_json("docs", s.docs_effect, 1000000, 5000000, 3) + "," +
-         class_json("agent", "free", 1500000, 7500000, 9) +
+         class_json("docs", s.docs_effect, std::min(1000000, s.docs_deadline_us), s.docs_deadline_us, 3) +
+         "," + class_json("agent", "free", 1500000, 7500000, 9) +
          "],\"family-info\":{\"resume\":" + (s.resume ? "true" : "false") +
          ",\"aim-us-per-1000-prompt-tokens\":[40000.0,30000.0],\"token-aim\":[100000.0,80000.0]},"
          "\"limits\":{\"cancel\":true,\"probes\":true,\"parallel-tries\":false,\"retry-after\":true,"
