--- a/review/10/trial.cpp
+++ b/review/10/trial.cpp
@@ -21,7 +21,7 @@
   settings.port = FreePort();
   settings.discovery = discovery->address();
   settings.known = discovery->Known();
-  const Node node(settings, folder.path(), "node");
+  Node node(settings, folder.path(), "node");
   if (!node.WaitHealthy(10)) CannotRun("the node is not ready: " + node.Log());
 
   // The text of the message ends with figures, so that a length that is too small by 2 and more leaves a
@@ -54,6 +54,8 @@
     if (Calm() && answer.status != 200) CannotRun("a sound request in chunks is not served");
     if (!Calm() && answer.status == 200) ++wrong;
   }
+  int status = 0;
+  if (node.Ended(&status)) CannotRun("the node has ended: " + node.Log());
   record->Line("%d of %zu served as though they had been sound: %s", wrong, bad.size(),
                wrong > 0 ? "broken" : "held");
   return wrong > 0 ? 1 : 0;
