Refuse requests whose framing can't be read, instead of serving what the library makes of it

Cause: http_parser, as Debian builds it (HTTP_PARSER_STRICT=0), takes any byte where CR or LF is due behind a chunk, a size line or the head, skips all text behind a blank or ";" in a size line, takes blanks in names and any letter in "HTTP". RequestParser left the framing to it. Hypotheses, and what told them apart: (a) the library: its parser alone, without sockets, takes the forms; (b) the reader of the connection joins pieces wrongly: the same whole, byte by byte and cut at every place; (c) the front changes the body: the body differs before a front sees it. Only (a) holds.

Change: MessageParser is the one place that decides whether a message can be read. The library reads the head's lines only; HeadScanner checks line ends and the protocol's name, ClassifyBody says where the body ends, BodyDecoder decodes it. Trailers are read and dropped, no longer taken for header fields.

What RFC 9112 lets a recipient take stays taken: LF and folded lines in the head, blanks behind a size, empty lines ahead. Sound forms that the library turned away are served now: a tab ahead of an extension, blanks and empty elements around the coding.

--- a/src/http/end_to_end_fields_model.cpp
+++ b/src/http/end_to_end_fields_model.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <cctype>
 
+#include "http/token_model.h"
+
 namespace ryeglade {
 namespace {
 
@@ -29,19 +31,8 @@
   return lower;
 }
 
-bool IsTokenCharacter(unsigned char c) {
-  return std::isalnum(c) != 0 ||
-         std::string_view("!#$%&'*+-.^_`|~").find(static_cast<char>(c)) != std::string_view::npos;
-}
-
-// The HTTP parser accepts field names that contain blanks; the next server might read them as other names.
-bool IsToken(std::string_view name) {
-  return !name.empty() && std::all_of(name.begin(), name.end(), IsTokenCharacter);
-}
-
 bool IsFieldValue(std::string_view value) {
-  return std::none_of(value.begin(), value.end(),
-                      [](unsigned char c) { return (c < 0x20 && c != '\t') || c == 0x7f; });
+  return std::all_of(value.begin(), value.end(), IsFieldValueByte);
 }
 
 // Returns the field names, in lower case, that the Connection fields declare as hop-by-hop.
--- a/src/http/request_parser.h
+++ b/src/http/request_parser.h
@@ -1,8 +1,6 @@
 // Parses the HTTP/1.1 requests of one client connection, with bounds on head and body.
 #pragma once
 
-#include <http_parser.h>
-
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -11,6 +9,7 @@
 
 #include "base/buffer_pool.h"
 #include "base/deadlines.h"
+#include "http/message_parser.h"
 
 namespace ryeglade {
 
@@ -31,13 +30,14 @@
 };
 
 // One per connection; Reset is called before each request after the first.
-class RequestParser {
+class RequestParser : private MessageReceiver {
  public:
-  // Maximum number of header fields, trailers included. A short field takes many times its size in memory.
+  // Maximum number of header fields. A short field takes many times its size in memory.
   static constexpr std::size_t kMaxFields = 128;
 
   // `pool` is not owned; `max_body` is in bytes.
-  RequestParser(BufferPool* pool, std::size_t max_body) : pool_(pool), max_body_(max_body), request_(pool) {
+  RequestParser(BufferPool* pool, std::size_t max_body)
+      : pool_(pool), max_body_(max_body), parser_(HTTP_REQUEST, max_body), request_(pool) {
     Reset();
   }
   // Sets the greatest size of a request's head, for all parsers of the process.
@@ -56,28 +56,23 @@
   bool keep_alive() const { return keep_alive_; }
   // Returns true, once per request, if the client waits for "100 Continue" before it sends the body.
   bool TakeExpectsContinue() { return std::exchange(expects_continue_, false); }
-  // For an invalid request: the status of the response, and the reason for the log ("limit" or the name of
-  // the parser's error).
+  // For an invalid request: the status of the response, and the reason for the log.
   int error_status() const;
   const char* error_reason() const;
 
  private:
-  static const http_parser_settings& Callbacks();
-  static RequestParser& Of(http_parser* parser) { return *static_cast<RequestParser*>(parser->data); }
-  int OnTarget(std::string_view part);
-  int OnHeaderField(std::string_view part);
-  int OnHeaderValue(std::string_view part);
-  int OnHeadersComplete();
-  int OnBody(std::string_view part);
-  int OnMessageComplete();
-  int ReserveForHead(std::size_t bytes);
+  bool OnTarget(std::string_view part) override;
+  bool OnFieldName(std::string_view part) override;
+  bool OnFieldValue(std::string_view part) override;
+  bool OnHead(const http_parser& head, BodyFraming framing) override;
+  bool OnBody(std::string_view part) override;
+  bool ReserveForHead(std::size_t bytes);
 
   BufferPool* pool_;
   std::size_t max_body_;
-  http_parser parser_{};
+  MessageParser parser_;
   HttpRequest request_;
   bool value_begun_ = false;  // part of a field's value was parsed, so that a name now starts another field
-  bool complete_ = false;
   bool keep_alive_ = true;
   bool expects_continue_ = false;
   // The status of the response if the request is not accepted although it is valid HTTP (a bound is exceeded,
--- a/src/http/status_reason.cpp
+++ b/src/http/status_reason.cpp
@@ -30,6 +30,8 @@
       return "Request Header Fields Too Large";
     case 500:
       return "Internal Server Error";
+    case 501:
+      return "Not Implemented";
     case 502:
       return "Bad Gateway";
     case 503:
