Read answers and lists by the same rules as requests, not by the library's

What callers saw: answers of replicas whose framing is broken were ended as complete, and lists of discovery whose chunks are broken were put into force, both with what http_parser makes of them.

ResponseParser checked the line end behind a chunk by itself and left the size line, the last chunk, the head's end, the codings and the protocol's name to the library; Discovery checked nothing.

Change: both use MessageParser, in place of callbacks of their own. Bytes behind a list are malformed, as before.

A blank ahead of a field's colon stays taken in answers, as RFC 9112 (5.1) asks of a proxy; a tab ahead of an extension is taken now.

Evidence: 11 broken forms and 7 sound ones are new in stream_end.

--- a/src/core/discovery.cpp
+++ b/src/core/discovery.cpp
@@ -164,36 +164,34 @@
 
 // ---- Responses ----
 
-const http_parser_settings& Discovery::Callbacks() {
-  static const http_parser_settings settings = [] {
-    http_parser_settings s;
-    http_parser_settings_init(&s);
-    s.on_headers_complete = [](http_parser* p) {
-      static_cast<Request*>(p->data)->status = p->status_code;
-      return 0;
-    };
-    s.on_body = [](http_parser* p, const char* at, std::size_t n) {
-      Request& request = *static_cast<Request*>(p->data);
-      request.body.append(at, n);
-      request.memory.ResizeUnchecked(request.body.capacity() + request.objects.pending());
-      return request.body.size() > request.max_bytes ? 1 : 0;
-    };
-    s.on_message_complete = [](http_parser* p) {
-      Request& request = *static_cast<Request*>(p->data);
-      request.complete = request.status >= 200;
-      return 0;
-    };
-    return s;
-  }();
-  return settings;
+bool Discovery::Request::Parse(std::string_view bytes) {
+  while (!bytes.empty() && !complete) {
+    std::size_t consumed = 0;
+    const MessageParser::Result result = parser.Parse(bytes, this, &consumed);
+    if (result == MessageParser::Result::kInvalid) return false;
+    bytes.remove_prefix(consumed);
+    if (result != MessageParser::Result::kComplete) continue;
+    complete = status >= 200;
+    if (!complete) parser.Start();  // the final response follows
+  }
+  return bytes.empty();  // bytes after the response belong to no response
+}
+
+bool Discovery::Request::OnHead(const http_parser& head, BodyFraming) {
+  status = static_cast<int>(head.status_code);
+  return true;
+}
+
+bool Discovery::Request::OnBody(std::string_view part) {
+  body.append(part);
+  memory.ResizeUnchecked(body.capacity() + objects.pending());
+  return body.size() <= max_bytes;
 }
 
 void Discovery::OnConnected(Handle handle, int status) {
   Request* request = requests_.Get(handle);
   if (request == nullptr) return;
   if (status != 0) return Fail(handle, "connect");
-  http_parser_init(&request->parser, HTTP_RESPONSE);
-  request->parser.data = request;
   std::string target = "/catalog/members";
   if (request->kind == RequestKind::kWatch) {
     target += "?follow=1&since=" + std::to_string(endpoints_.generation());
@@ -209,8 +207,7 @@
 void Discovery::OnRead(Handle handle, std::string_view bytes) {
   Request* request = requests_.Get(handle);
   if (request == nullptr) return;
-  http_parser_execute(&request->parser, &Callbacks(), bytes.data(), bytes.size());
-  if (HTTP_PARSER_ERRNO(&request->parser) != HPE_OK) return Fail(handle, "malformed");
+  if (!request->Parse(bytes)) return Fail(handle, "malformed");
   if (request->status != 0 && request->status != 200) return Fail(handle, "status");
   if (request->kind == RequestKind::kWatch) {
     ReadWatch(handle);
--- a/src/core/discovery.h
+++ b/src/core/discovery.h
@@ -3,8 +3,6 @@
 // succeeds or fails. The EndpointTable applies the lists.
 #pragma once
 
-#include <http_parser.h>
-
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -15,6 +13,7 @@
 #include "core/core.h"
 #include "core/endpoint_table.h"
 #include "core/json_object_reader_model.h"
+#include "http/message_parser.h"
 
 namespace ryeglade {
 
@@ -61,11 +60,17 @@
     kSwitchPoll,  // fetches the complete list with which a watch at a new address starts
   };
   // A request to discovery, from opening its connection to the end of its response.
-  struct Request {
-    Request(BufferPool* pool, std::size_t max_list_bytes) : max_bytes(max_list_bytes), memory(pool) {}
+  struct Request : private MessageReceiver {
+    Request(BufferPool* pool, std::size_t max_list_bytes)
+        : parser(HTTP_RESPONSE, max_list_bytes), max_bytes(max_list_bytes), memory(pool) {}
+    // Parses the bytes of one read. Returns false if they are no response, or one that is too long.
+    bool Parse(std::string_view bytes);
+    bool OnHead(const http_parser& head, BodyFraming framing) override;
+    bool OnBody(std::string_view part) override;
+
     RequestKind kind = RequestKind::kPoll;
     Tcp* tcp = nullptr;
-    http_parser parser{};
+    MessageParser parser;
     bool list_received = false;  // for a watch: it has sent a list
     bool complete = false;       // the response has ended
     int status = 0;              // 0 until the response head is complete
@@ -88,7 +93,6 @@
   bool ApplyWatchEvent(Handle request, std::string_view object);
   void ReportFailure(const char* source, const char* reason);
   void NotifyFirstResult();
-  static const http_parser_settings& Callbacks();
 
   Core* core_;
   std::string address_;  // "ip:port"
--- a/src/core/response_parser.h
+++ b/src/core/response_parser.h
@@ -1,10 +1,7 @@
-// Parses one HTTP/1.1 response of an upstream host: head, framing and chunks. It is stricter than the parser
-// library where that would accept a malformed response as valid. The dialect interprets the response: its
-// ResponseReader gets the headers from this class and the body from the caller.
+// Parses one HTTP/1.1 response of an upstream host. MessageParser decides whether it can be read. The dialect
+// interprets the response: its ResponseReader gets the headers from this class and the body from the caller.
 #pragma once
 
-#include <http_parser.h>
-
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -13,11 +10,12 @@
 
 #include "core/dialect.h"
 #include "core/stream_end_model.h"
+#include "http/message_parser.h"
 
 namespace ryeglade {
 
 // One per connection; Start is called for each response.
-class ResponseParser {
+class ResponseParser : private MessageReceiver {
  public:
   // Maximum size in bytes of a chunk, and of what may arrive before the first complete event.
   static constexpr std::uint64_t kMaxChunkBytes = std::uint64_t{256} * 1024;
@@ -40,9 +38,7 @@
   // nothing followed it, and the host keeps the connection open.
   bool reusable() const { return message_.complete && message_.framed && message_.keep_alive; }
   // Whether every chunk that has begun is complete, including its line end.
-  bool at_chunk_boundary() const {
-    return message_.chunk_remaining == 0 && message_.expected_line_end.empty();
-  }
+  bool at_chunk_boundary() const { return parser_.at_chunk_boundary(); }
 
  private:
   // State of one response. A 1xx response before the final one has a state of its own.
@@ -53,27 +49,21 @@
     bool keep_alive = false;
     bool value_begun = false;  // the current header has part of its value; a name now starts another header
     std::string field, value;  // the current header, as far as it has been received
-    std::uint64_t chunk_remaining = 0;   // bytes of the current chunk that have not arrived yet
-    std::string_view expected_line_end;  // the part of the chunk's line end that has not arrived yet
     std::unique_ptr<ResponseReader> reader;
     StreamEndScanner stream_end_scanner;
   };
 
-  static const http_parser_settings& Callbacks();
-  static ResponseParser& Of(http_parser* parser) { return *static_cast<ResponseParser*>(parser->data); }
-  int OnMessageBegin();
-  int OnHeaderField(std::string_view part);
-  int OnHeaderValue(std::string_view part);
-  int OnHeadersComplete();
-  int OnChunkHeader();
-  int OnBody(std::string_view part);
-  int OnMessageComplete();
+  void OnMessageBegin() override;
+  bool OnFieldName(std::string_view part) override;
+  bool OnFieldValue(std::string_view part) override;
+  bool OnHead(const http_parser& head, BodyFraming framing) override;
+  bool OnBody(std::string_view part) override;
+  void OnMessageComplete();
 
-  http_parser parser_{};
+  MessageParser parser_{HTTP_RESPONSE, kMaxChunkBytes};
   const Dialect* dialect_ = nullptr;
   Message message_;
   std::vector<std::string_view>* body_ = nullptr;  // where Parse collects body parts; nullptr outside Parse
-  const char* read_end_ = nullptr;                 // end of the bytes being parsed
 };
 
 }  // namespace ryeglade
--- a/tests/request_lifecycle.cpp
+++ b/tests/request_lifecycle.cpp
@@ -455,6 +455,31 @@
   assert(at(second) - at(first) < 4'700);
 }
 
+// Guards against a list whose chunks can't be read being put into force with what the parser library makes of
+// it: each way to break the chunk fails the watch, and the replicas of the list stay unknown.
+void UnreadableLists() {
+  const std::string list =
+      EndpointListJson(5, true, {InstanceJson("s-b", "127.0.0.1:9"), InstanceJson("s-c", "127.0.0.1:9")})
+          .dump();
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx", list.size() + 1);
+  const std::string text = list + "\n";
+  const std::vector<std::string> chunks = {
+      size + std::string("\r\n") + text + "}}0\r\n\r\n", size + std::string(" zz\r\n") + text + "\r\n",
+      size + std::string("\rX") + text + "\r\n", size + std::string(";a\n\r\n") + text + "\r\n"};
+  for (const std::string& chunk : chunks) {
+    ScriptedServer discovery, a;
+    std::future<Connection> first_watch = AcceptWatchAtStart(discovery, "4");
+    Node node(program, EndpointListJson(4, true, {InstanceJson("s-a", a.address())}), discovery.address(),
+              "ask");
+    Connection watch = first_watch.get();
+    Connection again = AcceptWatch(discovery, "4");
+    again.Send(chunk);
+    node.WaitForLog("why=malformed");
+    assert(!Contains(node.Log(), "generation=5"));
+  }
+}
+
 // While a client does not read, the node stops reading from the host and buffers little; afterwards it passes
 // on every byte.
 void ClientDoesNotRead() {
@@ -589,6 +614,7 @@
                                                  {"mute", IncompleteRequests},
                                                  {"spoilt", MalformedAfterFirstEvent},
                                                  {"silent-watch", SilentWatch},
+                                                 {"unreadable-lists", UnreadableLists},
                                                  {"surplus", ExtraResponses},
                                                  {"parts", SlotTableAndBufferPool},
                                                  {"reloads", ReloadsConfig}};
--- a/tests/stream_end.cpp
+++ b/tests/stream_end.cpp
@@ -27,6 +27,19 @@
   return size + bytes + "\r\n";
 }
 
+// A chunk with `size_end` behind its size, in the place of CRLF.
+std::string ChunkOfSize(const std::string& bytes, const std::string& size_end) {
+  const std::string chunk = Chunk(bytes);
+  const std::size_t size_bytes = chunk.find('\r');
+  return chunk.substr(0, size_bytes) + size_end + chunk.substr(size_bytes + 2);
+}
+
+// A chunk with `end` behind its data, in the place of CRLF.
+std::string ChunkEnding(const std::string& bytes, const std::string& end) {
+  const std::string chunk = Chunk(bytes);
+  return chunk.substr(0, chunk.size() - 2) + end;
+}
+
 std::string WithLength(const std::string& body, std::size_t length) {
   return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: " + std::to_string(length) +
          "\r\n\r\n" + body;
@@ -75,6 +88,18 @@
       {"a chunk that does not end", kStreamHead + Chunk(kText) + "fff\r\n" + kAll, true},
       {"a chunk longer than it says", kStreamHead + Chunk(kText) + "5\r\n" + kAll + kLast, true},
       {"a chunk size that can't be read", kStreamHead + Chunk(kAll) + "zz\r\n" + kLast, true},
+      {"a chunk whose line end is other bytes", kStreamHead + ChunkEnding(kAll, "}}") + kLast},
+      {"text behind a chunk's size", kStreamHead + ChunkOfSize(kAll, " zz\r\n") + kLast},
+      {"a size line with CR and another byte", kStreamHead + ChunkOfSize(kAll, "\rX") + kLast},
+      {"LF in a chunk's extension", kStreamHead + ChunkOfSize(kAll, ";a\n\r\n") + kLast},
+      {"a last chunk with CR and another byte", kStreamHead + Chunk(kAll) + "0\r\n\rX"},
+      {"a trailer without colon", kStreamHead + Chunk(kAll) + "0\r\nabc\r\n\r\n"},
+      {"a coding besides chunked", Replace(kStreamHead, "chunked", "gzip, chunked") + Chunk(kAll) + kLast},
+      {"the coding twice", Replace(kStreamHead, "chunked", "chunked, chunked") + Chunk(kAll) + kLast},
+      {"a head that ends with CR and another byte",
+       Replace(kStreamHead, "\r\n\r\n", "\r\n\rX") + Chunk(kAll) + kLast},
+      {"another protocol", Replace(kStreamHead, "HTTP/1.1", "HTQQ/1.1") + Chunk(kAll) + kLast},
+      {"another version", Replace(kStreamHead, "HTTP/1.1", "HTTP/3.1") + Chunk(kAll) + kLast},
       {"a length that is too long", WithLength(kAll, kAll.size() + 1), true},
       {"neither chunks nor a length",
        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n" + kAll, true},
@@ -105,6 +130,15 @@
            Replace(Chunk(kAll), "\r\ndata: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"oq",
                    ";a=b\r\ndata: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"oq") +
            "000;c\r\n\r\n"},
+      {"blanks around an extension", kStreamHead + ChunkOfSize(kAll, "\t; a = \"b;c\"\r\n") + kLast},
+      {"blanks behind a size", kStreamHead + ChunkOfSize(kAll, "  \r\n") + "0  \r\n\r\n"},
+      {"leading zeros", kStreamHead + "000" + Chunk(kAll) + "0000\r\n\r\n"},
+      {"a folded trailer", kStreamHead + Chunk(kAll) + "0\r\nA: b\r\n c\r\n\r\n"},
+      {"a folded field",
+       Replace(kStreamHead, "Transfer", "X-Note: a\r\n b\r\nTransfer") + Chunk(kAll) + kLast},
+      {"a blank before the colon of a field",
+       Replace(kStreamHead, "Transfer", "X-Note : a\r\nTransfer") + Chunk(kAll) + kLast},
+      {"LF in the head", Replace(kStreamHead, "\r\n", "\n") + Chunk(kAll) + kLast},
       {"a length that fits", WithLength(kAll, kAll.size())},
       {"Connection: close",
        Replace(kStreamHead, "Transfer", "connection: close\r\nTRANSFER") + Chunk(kAll) + kLast, true},
