Miss no replacement of a file that the processes of a node share

During an upgrade, what the old process put into a file could stay unseen by the new one for good: an operator's call, or the endpoint list that it was told after it had handed over, and with it a drain.

Cause: StateFile compared stat results from its first check on. What was replaced between ReadNow, or the other process's first write, and that check counted as known; a change that was noticed while a job ran was not looked at again.

Change: ReplacedFile keeps the version that was read last open, so that a file has another inode number if and only if it was replaced since; the first check comes at once, and each later one compares with what was read. Update reads, changes and replaces a file under a lock of its own, which the kernel releases if the process is killed; several updates that wait are made together.

--- a/src/base/state_file.cpp
+++ b/src/base/state_file.cpp
@@ -1,122 +1,160 @@
 #include "base/state_file.h"
 
+#include <cerrno>
 #include <cstring>
-#include <fstream>
-#include <iterator>
 #include <utility>
 
-#include "base/file_io.h"
 #include "base/log.h"
 
 namespace ryeglade {
 namespace {
 
 constexpr mode_t kMode = 0600;
-constexpr std::size_t kMaxBytes = std::size_t{4} * 1024 * 1024;
-
-// Returns nullopt if the file cannot be opened or is larger than kMaxBytes.
-std::optional<std::string> ReadAll(const std::string& path) {
-  std::ifstream in(path, std::ios::binary);
-  if (!in) return std::nullopt;
-  std::string text;
-  char piece[65536];
-  while (in.read(piece, sizeof piece) || in.gcount() > 0) {
-    text.append(piece, static_cast<std::size_t>(in.gcount()));
-    if (text.size() > kMaxBytes) return std::nullopt;
-  }
-  return text;
-}
+// How long an update waits for another process's. Callers of an update wait for up to two of them.
+constexpr int kLockTimeoutMs = 200;
 
 }  // namespace
 
-// One write or read of the file in a background thread.
+// One operation on the file in a background thread: a write, several updates, or a check.
 struct StateFile::Job {
   uv_work_t work{};
   StateFile* file = nullptr;
-  bool write = false;               // otherwise the job reads
-  std::string text;                 // what is written
-  std::optional<std::string> read;  // what was read; nullopt if that failed
-  FileError error;                  // of the write
+  std::optional<std::string> write;    // what is written
+  std::vector<PendingUpdate> updates;  // made if nothing is written
+  std::optional<std::string> text;     // what was read; for updates: what the file holds
+  FileError error;                     // of the write or the updates
 };
 
 StateFile::StateFile(uv_loop_t* loop, std::string path, std::function<void(const std::string&)> changed)
-    : loop_(loop), path_(std::move(path)), changed_(std::move(changed)) {}
+    : loop_(loop), path_(std::move(path)), changed_(std::move(changed)), file_(path_) {}
 
-std::optional<std::string> StateFile::ReadNow() const {
-  if (!enabled()) return std::nullopt;
-  return ReadAll(path_);
+StateFile::~StateFile() = default;
+
+std::optional<std::string> StateFile::ReadNow() {
+  std::optional<std::string> text;
+  if (!enabled() || file_.Read(&text) != 0) return std::nullopt;
+  if (text) last_read_ = text;
+  return text;
 }
 
 void StateFile::Write(std::string text) {
   if (!enabled()) return;
-  last_ = text;
-  pending_ = std::move(text);
-  if (!job_running_) StartJob();
+  last_written_ = text;
+  last_read_.reset();
+  pending_write_ = std::move(text);
+  StartJob();
+}
+
+void StateFile::Update(Change change, UpdateDone done) {
+  if (!enabled()) return done({{ENOENT, "has no path"}, std::nullopt});
+  pending_updates_.push_back({std::move(change), std::move(done)});
+  StartJob();
 }
 
 void StateFile::StartJob() {
+  const bool work_due = pending_write_ || !pending_updates_.empty() || check_due_;
+  if (job_running_ || !work_due) return;
   Job* job = new Job;
   job->work.data = job;
   job->file = this;
-  job->write = pending_.has_value();
-  if (job->write) job->text = *std::exchange(pending_, std::nullopt);
+  if (pending_write_) {
+    job->write = std::exchange(pending_write_, std::nullopt);
+  } else if (!pending_updates_.empty()) {
+    job->updates = std::exchange(pending_updates_, {});
+  } else {
+    check_due_ = false;
+  }
   job_running_ = true;
   const int queued = uv_queue_work(
       loop_, &job->work,
       [](uv_work_t* w) {
         Job* j = static_cast<Job*>(w->data);
-        if (j->write) {
-          j->error = ReplaceFile(j->file->path_, j->text, kMode);
-        } else {
-          j->read = ReadAll(j->file->path_);
-        }
+        j->file->RunJob(*j);
       },
       [](uv_work_t* w, int) {
         Job* j = static_cast<Job*>(w->data);
-        j->file->OnJobDone(j);
+        j->file->OnJobDone(*j);
+        delete j;
       });
   if (queued != 0) {
-    job_running_ = false;
+    job->error = {ENOMEM, "cannot be queued"};
+    OnJobDone(*job);
     delete job;
   }
 }
 
-void StateFile::OnJobDone(Job* job) {
+// In the background thread.
+void StateFile::RunJob(Job& job) {
+  if (job.write) {
+    job.error = ReplaceFile(path_, *job.write, kMode);
+  } else if (!job.updates.empty()) {
+    RunUpdates(job);
+  } else if (file_.IsReplaced()) {
+    file_.Read(&job.text);  // after a failure the next check tries again
+  }
+}
+
+void StateFile::RunUpdates(Job& job) {
+  const FileLock lock(path_ + ".lock", kLockTimeoutMs);
+  if (lock.error() != 0) {
+    job.error = {lock.error(), "cannot be locked"};
+    return;
+  }
+  if (const int error = file_.Read(&job.text); error != 0) {
+    job.error = {error, "cannot be read"};
+    return;
+  }
+  bool is_changed = false;
+  for (const PendingUpdate& update : job.updates) {
+    std::optional<std::string> next = update.change(job.text);
+    if (!next) continue;
+    job.text = std::move(next);
+    is_changed = true;
+  }
+  if (is_changed) job.error = ReplaceFile(path_, *job.text, kMode);
+}
+
+void StateFile::OnJobDone(Job& job) {
   job_running_ = false;
-  if (job->write && job->error.error != 0) {
+  if (job.error.error != 0) {
     Log(Level::kWarn, "state-not-written",
-        {{"path", path_}, {"step", job->error.what}, {"why", std::strerror(job->error.error)}});
+        {{"path", path_}, {"step", job.error.what}, {"why", std::strerror(job.error.error)}});
   }
-  if (!job->write && job->read && *job->read != last_ && !pending_) {
-    last_ = *job->read;
-    if (polling_) changed_(last_);
+  if (job.updates.empty()) {
+    if (!job.write && job.text) OnTextRead(*job.text);
+  } else {
+    if (job.error.error == 0) last_read_ = job.text;
+    for (const PendingUpdate& update : job.updates) update.done({job.error, job.text});
   }
-  delete job;
-  if (pending_) StartJob();
+  StartJob();
 }
 
-void StateFile::Watch(unsigned interval_ms) {
-  if (!enabled() || polling_) return;
-  uv_fs_poll_init(loop_, &poll_);
-  poll_.data = this;
-  polling_ = true;
-  uv_fs_poll_start(
-      &poll_,
-      [](uv_fs_poll_t* p, int status, const uv_stat_t*, const uv_stat_t*) {
-        if (status == 0) static_cast<StateFile*>(p->data)->OnFileChanged();
-      },
-      path_.c_str(), interval_ms);
+void StateFile::OnTextRead(const std::string& text) {
+  if (text == last_written_ || text == last_read_) return;
+  last_read_ = text;
+  if (check_timer_ != nullptr) changed_(text);
 }
 
-void StateFile::OnFileChanged() {
-  if (!job_running_) StartJob();
+void StateFile::Watch(unsigned interval_ms) {
+  if (!enabled() || check_timer_ != nullptr) return;
+  check_timer_ = new uv_timer_t;
+  uv_timer_init(loop_, check_timer_);
+  check_timer_->data = this;
+  uv_timer_start(
+      check_timer_,
+      [](uv_timer_t* timer) {
+        StateFile* file = static_cast<StateFile*>(timer->data);
+        file->check_due_ = true;
+        file->StartJob();
+      },
+      0, interval_ms);
 }
 
 void StateFile::Close() {
-  if (!polling_) return;
-  polling_ = false;
-  uv_fs_poll_stop(&poll_);
-  uv_close(reinterpret_cast<uv_handle_t*>(&poll_), nullptr);
+  check_due_ = false;
+  if (check_timer_ == nullptr) return;
+  uv_close(reinterpret_cast<uv_handle_t*>(std::exchange(check_timer_, nullptr)),
+           [](uv_handle_t* handle) { delete reinterpret_cast<uv_timer_t*>(handle); });
 }
 
 }  // namespace ryeglade
