Store an operator's call under a lock, before it is answered, so that no call undoes another

Cause: each process wrote the whole set that it knew into one file, after its answer, and took the other's file over as a whole, up to 100 ms later. A call at the process that had not looked yet replaced the file by a set without the other's last calls.

Which call wins, now: the calls for a replica have the order in which they were stored, whichever process got them; the last one decides. SharedDisabledReplicas makes each call an update of the file, under its lock: read, change this one replica, replace, then apply, then answer. So a call that was answered before another came is stored before it; calls at the same time get one order, the same for both processes. A process that starts late reads the file first; one that ends has nothing that is not stored; one that is killed half way leaves the old file or the new one, whole, and the kernel frees its lock; one that can't write, or finds the file locked for 0.2 s, answers 503 and the call has no effect anywhere. 200 means: in the file, where the next process looks first and the other one within 0.1 s (drains have 0.75 s), and in force here. A union of the sets would not do: it undoes a call back.

A test's $TMPDIR is removed whole: the lock's file is in it.

--- a/src/admin/admin_front.cpp
+++ b/src/admin/admin_front.cpp
@@ -50,13 +50,26 @@
   const bool valid_instance = !instance.empty() && instance.find('/') == std::string_view::npos;
   if (!valid_instance || (verb != "offline" && verb != "online")) return Reply(connection, 404, "path\n");
   if (!CheckMethod(connection, request, "POST")) return;
-  const bool disabled = verb == "offline";
-  if (!node_->DisableReplica(instance, disabled)) {
-    Log(Level::kWarn, "admin-unknown-replica", {{"instance", instance}});
-    return Reply(connection, 404, "no such model replica\n");
+  const bool disable = verb == "offline";
+  node_->DisableReplica(instance, disable,
+                        [this, connection, disable, name = std::string(instance)](DisableResult result) {
+                          ReplyToDisable(connection, name, disable, result);
+                        });
+}
+
+void AdminFront::ReplyToDisable(Handle connection, const std::string& instance, bool disable,
+                                DisableResult result) {
+  switch (result) {
+    case DisableResult::kUnknownReplica:
+      Log(Level::kWarn, "admin-unknown-replica", {{"instance", instance}});
+      return Reply(connection, 404, "no such model replica\n");
+    case DisableResult::kNotStored:
+      Log(Level::kWarn, "admin-call-not-stored", {{"instance", instance}});
+      return Reply(connection, 503, "not stored\n");
+    case DisableResult::kDone:
+      Log(Level::kInfo, disable ? "replica-offline" : "replica-online", {{"instance", instance}});
+      return Reply(connection, 200, disable ? "offline\n" : "online\n");
   }
-  Log(Level::kInfo, disabled ? "replica-offline" : "replica-online", {{"instance", instance}});
-  Reply(connection, 200, disabled ? "offline\n" : "online\n");
 }
 
 }  // namespace ryeglade
--- a/src/admin/admin_front.h
+++ b/src/admin/admin_front.h
@@ -2,9 +2,11 @@
 // It serves one request per connection, from the data of AdminPort, and holds no state itself.
 #pragma once
 
+#include <functional>
 #include <string>
 #include <string_view>
 
+#include "core/disabled_replicas_model.h"
 #include "http/downstream.h"
 
 namespace ryeglade {
@@ -16,9 +18,10 @@
   virtual bool is_ready() const = 0;             // whether the node accepts clients
   virtual std::string CountersText() const = 0;  // the counters in the Prometheus text format
   virtual std::string MetricsText() const = 0;   // the metrics by which a rollout compares nodes, as JSON
-  // Takes the replica named `instance` out of use if `disabled` is set, and puts it back into use otherwise.
-  // Returns false if there is no such replica.
-  virtual bool DisableReplica(std::string_view instance, bool disabled) = 0;
+  // Takes the replica named `instance` out of use if `disable` is set, and puts it back into use otherwise.
+  // `done` is called once, when this holds for all processes of the node or has failed.
+  virtual void DisableReplica(std::string_view instance, bool disable,
+                              std::function<void(DisableResult)> done) = 0;
 };
 
 class AdminFront : public Front {
@@ -39,6 +42,7 @@
   // Returns whether the request has this method; otherwise replies with 405.
   bool CheckMethod(Handle connection, const HttpRequest& request, std::string_view method);
   void OnReplicaRequest(Handle connection, const HttpRequest& request);
+  void ReplyToDisable(Handle connection, const std::string& instance, bool disable, DisableResult result);
 
   AdminPort* node_;
   Downstream* downstream_ = nullptr;
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <csignal>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <stdexcept>
@@ -16,6 +17,7 @@
 #include "admin/admin_front.h"
 #include "app/cluster_service.h"
 #include "app/config_reload.h"
+#include "app/disabled_replicas.h"
 #include "app/node_report.h"
 #include "app/openai_service.h"
 #include "app/shared_paths.h"
@@ -26,7 +28,6 @@
 #include "base/buffer_pool.h"
 #include "base/deadlines.h"
 #include "base/log.h"
-#include "base/state_file.h"
 #include "core/core.h"
 #include "core/decisions.h"
 #include "core/discovery.h"
@@ -45,8 +46,7 @@
 
 // How long, in microseconds, a new process waits for its first endpoint list from discovery.
 constexpr Time kFirstListTimeout = 2'500'000;
-constexpr unsigned kDisabledReplicasWatchMs = 100;  // between two checks of the file of disabled replicas
-constexpr std::size_t kMaxAdminRequest = 4096;      // bytes
+constexpr std::size_t kMaxAdminRequest = 4096;  // bytes
 
 // What is read from files before the event loop is set up, so that a file that can't be used is reported
 // before any socket is open.
@@ -122,13 +122,11 @@
         front_(&core_, &streams_),
         listener_(&core_, &front_, ClientListenerOptions(config, settings)),
         admin_front_(this),
-        disabled_replicas_file_(&loop_, NodeFilePath("holds", config),
-                                [this](const std::string& text) { ApplyDisabledReplicas(text, false); }),
+        disabled_replicas_(&loop_, NodeFilePath("holds", config), config.name, &discovery_.endpoints()),
         hot_restart_(&core_, this, RestartOptions(config)),
         shutdown_(&deadlines_, &streams_, &hot_restart_, [this] { CloseAll(); }) {
     front_.SetDownstream(&listener_);
     shutdown_.AddListener(&listener_);
-    if (const auto text = disabled_replicas_file_.ReadNow()) ApplyDisabledReplicas(*text, true);
     if (!config.management.empty()) {
       admin_listener_ = std::make_unique<Downstream>(&core_, &admin_front_, AdminListenerOptions(config));
       admin_front_.Use(admin_listener_.get());
@@ -158,7 +156,7 @@
       FailStart(e.what());
     }
     if (start_error_.empty()) {
-      disabled_replicas_file_.Watch(kDisabledReplicasWatchMs);
+      disabled_replicas_.Watch();
       hot_restart_.Start();
     }
     uv_run(&loop_, UV_RUN_DEFAULT);
@@ -292,10 +290,9 @@
 
   std::string MetricsText() const override { return RolloutMetricsReport(report_sources(), UsedSockets()); }
 
-  bool DisableReplica(std::string_view instance, bool disabled) override {
-    if (!discovery_.endpoints().SetDisabled(std::string(instance), disabled)) return false;
-    disabled_replicas_file_.Write(EncodeDisabledReplicas(discovery_.endpoints().disabled(), config_.name));
-    return true;
+  void DisableReplica(std::string_view instance, bool disable,
+                      std::function<void(DisableResult)> done) override {
+    disabled_replicas_.Call(std::string(instance), disable, std::move(done));
   }
 
  private:
@@ -427,7 +424,7 @@
   // Closes all handles of the loop, so that it ends.
   void CloseAll() {
     if (cluster_ != nullptr) cluster_->Close();
-    disabled_replicas_file_.Close();
+    disabled_replicas_.Close();
     hot_restart_.Close();
     listener_.Close();
     if (admin_listener_ != nullptr) admin_listener_->Close();
@@ -453,19 +450,6 @@
             .listener = listener_};
   }
 
-  // A file that is corrupt, or that another node wrote, is logged and ignored.
-  void ApplyDisabledReplicas(const std::string& text, bool at_start) {
-    std::string why;
-    const std::optional<DisabledReplicas> replicas = DecodeDisabledReplicas(text, config_.name, &why);
-    if (!replicas) {
-      Log(Level::kWarn, "disabled-replicas-ignored",
-          {{"path", disabled_replicas_file_.path()}, {"why", why}});
-      return;
-    }
-    Log(Level::kInfo, "disabled-replicas-applied", {{"out", replicas->disabled.size()}, {"start", at_start}});
-    discovery_.endpoints().ReplaceDisabled(*replicas);
-  }
-
   EdgeSettings settings_;
   Config config_;  // in force; changed by SIGHUP
   NodeCounters counters_;
@@ -484,7 +468,7 @@
   Downstream listener_;
   AdminFront admin_front_;
   std::unique_ptr<Downstream> admin_listener_;  // null if the configuration names no management address
-  StateFile disabled_replicas_file_;            // may be written by another process of this node
+  SharedDisabledReplicas disabled_replicas_;
   hot_restart::HotRestart hot_restart_;
   ShutdownSequence shutdown_;
   std::string start_error_;             // why the node can't start; empty if no error has occurred
--- a/src/core/disabled_replicas_model.cpp
+++ b/src/core/disabled_replicas_model.cpp
@@ -20,6 +20,17 @@
 
 }  // namespace
 
+DisableResult Apply(const DisableCall& call, DisabledReplicas* replicas) {
+  if (!call.is_listed && !replicas->disabled.contains(call.instance)) return DisableResult::kUnknownReplica;
+  if (!IsPlainName(call.instance)) return DisableResult::kNotStored;
+  if (call.disable) {
+    replicas->disabled.try_emplace(call.instance, call.at);
+  } else if (replicas->disabled.erase(call.instance) > 0) {
+    replicas->enabled[call.instance] = call.at;
+  }
+  return DisableResult::kDone;
+}
+
 std::string EncodeDisabledReplicas(const DisabledReplicas& replicas, const std::string& node) {
   std::string text = std::string(kHeader) + node + "\n";
   const auto add = [&](const char* keyword, const std::map<std::string, std::int64_t>& names) {
--- a/src/core/disabled_replicas_model.h
+++ b/src/core/disabled_replicas_model.h
@@ -1,5 +1,5 @@
-// DisabledReplicas: the replicas that operators have disabled or enabled again, and its text form, in which
-// one process of a node hands it to the next on a hot restart. Pure: no I/O, no clock.
+// DisabledReplicas: the replicas that operators have disabled or enabled again, how a call changes them, and
+// the text form in which the processes of a node share them. Pure: no I/O, no clock.
 #pragma once
 
 #include <cstdint>
@@ -18,6 +18,24 @@
   bool operator==(const DisabledReplicas&) const = default;
 };
 
+// An operator's call to disable a replica or to enable it again.
+struct DisableCall {
+  std::string instance;
+  bool disable = true;     // otherwise the replica is enabled again
+  std::int64_t at = 0;     // microseconds (Unix time)
+  bool is_listed = false;  // whether the replica is in the endpoint list of the process that got the call
+};
+
+enum class DisableResult : std::uint8_t {
+  kDone,
+  kUnknownReplica,  // neither listed nor disabled
+  kNotStored,       // the call has no effect at any process of the node
+};
+
+// Of several calls for a replica the last one decides; disabling twice is undone by enabling once. A call
+// that does not return kDone changes nothing.
+DisableResult Apply(const DisableCall& call, DisabledReplicas* replicas);
+
 // Returns the stored form: "ryeglade-holds 1 NODE", one line "out NAME TIME" (disabled) or "back NAME TIME"
 // (enabled again) for each replica, and "end". A name that is empty, longer than 256 bytes or contains white
 // space or control characters is left out.
--- a/src/core/endpoint_table.cpp
+++ b/src/core/endpoint_table.cpp
@@ -269,20 +269,4 @@
   if (!update.endpoints.empty()) Post(std::move(update));
 }
 
-bool EndpointTable::SetDisabled(const std::string& instance, bool disabled) {
-  const auto id = ids_.find(instance);
-  const bool listed = id != ids_.end() && last_listed_.contains(id->second);
-  if (!listed && !disabled_.disabled.contains(instance)) return false;
-  if (disabled) {
-    disabled_.disabled.try_emplace(instance, Now());
-  } else if (disabled_.disabled.erase(instance) > 0) {
-    disabled_.enabled[instance] = Now();
-  }
-  if (!listed) return true;
-  Endpoint endpoint = last_listed_.at(id->second);
-  ApplyOverrides(disabled_, instance, endpoint);
-  Post(EndpointList{EndpointListScope::kDelta, static_cast<std::uint32_t>(generation_), {endpoint}});
-  return true;
-}
-
 }  // namespace ryeglade
--- a/src/core/endpoint_table.h
+++ b/src/core/endpoint_table.h
@@ -38,14 +38,12 @@
   ReplicaId IdOf(const std::string& instance);
   std::string NameOf(ReplicaId id) const;  // empty if the id is unknown
 
-  // Disables `instance` or enables it again, on behalf of an operator. While it is disabled, the decision
-  // module sees it as draining, whatever the lists say; once it is enabled again, the module sees it as just
-  // started, so that it warms up. Disabling twice is undone by enabling once. Returns false and changes
-  // nothing if no replica of that name is known.
-  bool SetDisabled(const std::string& instance, bool disabled);
-  // The disabled replicas are handed to another process of this node. ReplaceDisabled takes over those of
-  // another process: they replace the ones here, and the decision module is notified of what changes for
-  // listed replicas.
+  // Whether the list has a replica of that name.
+  bool IsListed(const std::string& instance) const;
+
+  // The replicas that operators disabled. The decision module sees them as draining, whatever the lists say;
+  // once they are enabled again, it sees them as just started, so that they warm up. ReplaceDisabled takes
+  // over those that the processes of the node share, and notifies the module of what changes.
   const DisabledReplicas& disabled() const { return disabled_; }
   void ReplaceDisabled(const DisabledReplicas& disabled);
   bool IsDisabled(ReplicaId id) const;
@@ -55,7 +53,6 @@
  private:
   bool Withdraws(const ListedEndpoint& entry) const;
   std::size_t MaxReplicas() const;
-  bool IsListed(const std::string& instance) const;
   void ApplyEntry(const ListedEndpoint& entry, policy::EndpointList* update, std::set<ReplicaId>* listed,
                   std::vector<ReplicaId>* removed);
   void ForgetFormerProcess(const std::string& name, const policy::Endpoint& endpoint);
--- a/tests/scripted_peers.h
+++ b/tests/scripted_peers.h
@@ -16,6 +16,7 @@
 #include <cassert>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <future>
 #include <iterator>
@@ -281,11 +282,7 @@
     }
     std::remove(config_path_.c_str());
     std::remove(log_path_.c_str());
-    if (own_tmpdir_) {
-      std::remove((tmpdir_ + "/ryeglade-holds-n0").c_str());
-      std::remove((tmpdir_ + "/settings.toml").c_str());
-      rmdir(tmpdir_.c_str());
-    }
+    if (own_tmpdir_) std::filesystem::remove_all(tmpdir_);
   }
   const std::string& tmpdir() const { return tmpdir_; }
   const nlohmann::json& config() const { return config_; }
