Soak: calls by hand during upgrades in series, unreadable framing beside sound chunks

New checks: a replica that an operator took out gets nothing from 0.75 s after the yes until the call back (rule drain); a request whose framing can't be read gets an error or a close within 3 s and reaches no replica (bad-client); a replica gets the body that its client sent (content).

A check narrowed, with the trace: SIGKILL to one process of an upgrade was held against a stream of the other one. PROTOCOL: lost is what "SIGKILL finds unanswered, if that request came more than 0.7 s after SIGTERM". Now it has to be the SIGKILL at which the connection ended; what another process's SIGKILL excused before is judged now.

--- a/lab/soak/bad_clients.h
+++ b/lab/soak/bad_clients.h
@@ -29,24 +29,30 @@
   void Close();  // closes all connections
 
   const std::vector<ClientThatLeft>& clients_that_left() const { return clients_that_left_; }
+  const std::vector<UnreadableRequest>& unreadable_requests() const { return unreadable_requests_; }
 
   void OnConnected(Handle link, int status) override;
   void OnRead(Handle link, std::string_view bytes) override;
   void OnDisconnected(Handle link) override;
 
  private:
+  static constexpr std::size_t kNone = SIZE_MAX;
+
   struct Link {
     FaultKind kind = FaultKind::kFlood;
     std::size_t node = 0;
     Time until = 0;
     Tcp* tcp = nullptr;
-    std::string id_prefix;  // of the ids of its requests
+    std::string id_prefix;           // of the ids of its requests
+    std::size_t unreadable = kNone;  // index of the record of its unreadable request
   };
 
   void Open(FaultKind kind, std::size_t node, Time until);
   void OpenAgain(const Link& link);
   void Flood(Handle link);
   void Leave(Handle link);
+  void SendUnreadable(Handle link);
+  void EndUnreadable(const Link& link, std::string_view answer);
   std::string FloodText();
   std::string Requests(const std::string& id_prefix, int count, std::size_t body_bytes) const;
   void Drop(Handle link);
@@ -57,6 +63,7 @@
   emulator::RandomStream random_;
   SlotTable<Link> links_;
   std::vector<ClientThatLeft> clients_that_left_;
+  std::vector<UnreadableRequest> unreadable_requests_;
   unsigned last_id_ = 0;
   bool closed_ = false;
 };
--- a/lab/soak/clients.cpp
+++ b/lab/soak/clients.cpp
@@ -3,10 +3,13 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <stdexcept>
 #include <utility>
 
+#include "lab/soak/framings.h"
+
 namespace ryeglade::soak {
 namespace {
 
@@ -17,7 +20,8 @@
 constexpr Time kWaitBeyondBudget = 1'500 * kMillisecond;
 constexpr Time kStreamTimeout = 30 * kSecond;  // for the rest of a stream that has begun
 constexpr Time kIdleReconnectDelay = 200 * kMillisecond;
-constexpr Time kBadClientTimeout = 6 * kSecond;  // for the error or close after a partial request
+constexpr std::size_t kFramingStreams = 1'000'000;  // number of the first stream for framing
+constexpr Time kBadClientTimeout = 6 * kSecond;     // for the error or close after a partial request
 
 }  // namespace
 
@@ -33,6 +37,8 @@
           {node,
            0,
            emulator::RandomStream(plan.seed, emulator::RandomPurpose::kArrivals, clients_.size()),
+           emulator::RandomStream(plan.seed, emulator::RandomPurpose::kArrivals,
+                                  kFramingStreams + clients_.size()),
            {}});
     }
   }
@@ -128,12 +134,20 @@
   const std::string body = fmt::format(
       R"({{"model":"m","stream":true,"max_tokens":100,"messages":[{{"role":"user","content":"question {} {}"}}]}})",
       record->id, std::string(c.random.Below(400), 'q'));
+  record->body_hash = std::hash<std::string>()(body);
   return fmt::format(
       "POST /v1/chat/completions HTTP/1.1\r\nHost: soak\r\nX-Call-Id: {}\r\nX-Call-Class: "
       "{}\r\nX-Route-Hash: {:016x}\r\n"
-      "X-Budget: {:.3f}\r\nX-Call-Info: prompt_len={}\r\nContent-Length: {}\r\n\r\n{}",
+      "X-Budget: {:.3f}\r\nX-Call-Info: prompt_len={}\r\n{}",
       record->id, record->cls, client + 1, static_cast<double>(record->budget) / 1e6, body.size() / 4,
-      body.size(), body);
+      Framed(c, body));
+}
+
+// Returns the framing fields, the empty line and the body.
+std::string SoakClients::Framed(Client& client, const std::string& body) const {
+  if (client.framing.Chance(plan_.habits.chunked))
+    return "Transfer-Encoding: chunked\r\n\r\n" + SoundChunks(body, client.framing);
+  return fmt::format("Content-Length: {}\r\n\r\n{}", body.size(), body);
 }
 
 void SoakClients::SendRequest(Handle handle) {
--- a/lab/soak/clients.h
+++ b/lab/soak/clients.h
@@ -49,6 +49,7 @@
     std::size_t node = 0;
     Handle link = 0;  // its current connection; 0 if it has none
     emulator::RandomStream random;
+    emulator::RandomStream framing;  // apart from `random`, so that seeds give the same requests as before
     // Records of requests whose connection closed before the node read them; they are sent once more.
     std::vector<std::size_t> resend;
   };
@@ -72,6 +73,7 @@
   void StartRequest(std::size_t client);
   Handle Open(std::size_t client);
   void SendRequest(Handle link);
+  std::string Framed(Client& client, const std::string& body) const;
   std::string BuildRequest(std::size_t client, ClientRequest* record);
   void ScheduleBehavior(Handle link, std::size_t record);
   void SendPartialRequest(Handle link, std::size_t client);
--- a/lab/soak/history_model.h
+++ b/lab/soak/history_model.h
@@ -55,7 +55,8 @@
   bool pipelined = false;    // written behind another request, before the answer to that one
   bool half_closed = false;  // at `client_closed` the client closed its sending side only
   bool slow_reader = false;
-  bool id_again = false;  // its id is that of a request whose client has closed its connection
+  std::size_t body_hash = 0;  // of the body that the client meant to send
+  bool id_again = false;      // its id is that of a request whose client has closed its connection
   ClientEnd end = ClientEnd::kUnfinished;
   int status = 0;                  // of the answer; 0 if none was complete
   std::vector<TimedBytes> events;  // pieces of the answer's body, as they were read
@@ -78,7 +79,8 @@
   // When the last byte reached the replica, which may run the attempt from then on; 0 if it never did.
   Time received = 0;
   Time ended = 0;
-  Time budget = 0;  // the time budget that the node sent along
+  Time budget = 0;            // the time budget that the node sent along
+  std::size_t body_hash = 0;  // of the body that the replica received
   AttemptEnd end = AttemptEnd::kUnfinished;
   std::vector<TimedBytes> events;  // pieces of the answer, as the replica wrote them
   // True if the attempt may have had an effect: the replica got all of it and did not reject it.
@@ -143,6 +145,24 @@
   bool answered = false;      // the node sent some bytes before the end
 };
 
+// A request whose framing can't be read.
+struct UnreadableRequest {
+  std::size_t node = 0;
+  std::string id;
+  Time began = 0, ended = 0;  // when it was written, and when its answer began or its connection ended
+  int status = 0;             // of the answer; 0 if there was none
+};
+
+// A call by which an operator takes a replica out of use at a node, or back. The calls at a node come one
+// after another.
+struct OperatorCall {
+  std::size_t node = 0, replica = 0;
+  bool out = true;              // otherwise back
+  Time sent = 0, answered = 0;  // 0: not answered
+  int status = 0;
+  bool accepted() const { return status >= 200 && status < 300; }
+};
+
 // Bad clients that were connected to a node at once.
 struct BadCrowd {
   std::size_t node = 0;
@@ -173,6 +193,8 @@
   std::vector<BadClient> bad_clients;
   std::vector<BadCrowd> bad_crowds;
   std::vector<ClientThatLeft> clients_that_left;
+  std::vector<UnreadableRequest> unreadable_requests;
+  std::vector<OperatorCall> operator_calls;
 };
 
 }  // namespace ryeglade::soak
--- a/lab/soak/plan.h
+++ b/lab/soak/plan.h
@@ -12,13 +12,15 @@
 
 enum class FaultKind : std::uint8_t {
   // Faults of the process of `node`.
-  kTerm,         // SIGTERM, SIGKILL at the earliest time that PROTOCOL allows, then a new start
-  kTermTwice,    // the same, with a second SIGTERM 0.1 s after the first
-  kHup,          // SIGHUP with the same settings
-  kHupSettings,  // SIGHUP with the other class table (deadlines and effects differ)
-  kKill,         // SIGKILL without SIGTERM
-  kStop,         // SIGSTOP, and SIGCONT after `duration`
-  kHotRestart,   // a second process of the node starts, then SIGTERM to the first
+  kTerm,           // SIGTERM, SIGKILL at the earliest time that PROTOCOL allows, then a new start
+  kTermTwice,      // the same, with a second SIGTERM 0.1 s after the first
+  kHup,            // SIGHUP with the same settings
+  kHupSettings,    // SIGHUP with the other class table (deadlines and effects differ)
+  kKill,           // SIGKILL without SIGTERM
+  kStop,           // SIGSTOP, and SIGCONT after `duration`
+  kHotRestart,     // a second process of the node starts, then SIGTERM to the first
+  kUpgrades,       // hot restarts one after another, for `duration`
+  kOperatorCalls,  // an operator takes replicas out of use at `node` and back, for `duration`
   // Faults of `replica`, for `duration`; some affect only a `share` of its requests.
   kHang,       // accepts requests and sends nothing
   kStall,      // stops in the middle of a stream
@@ -39,11 +41,12 @@
   kCutShort,    // answers of `replica` end with the last chunk before they are complete
   kSlowWrite,   // `replica` writes its events in pieces
   // Faults of bad clients at `node`, for `duration`.
-  kFlood,          // one sends small and unsound requests at full speed, under ever new names
-  kSendAndLeave,   // each sends hundreds of requests at once and closes its connection
-  kHalfBodies,     // each stops half way through a large request
-  kManyFields,     // each sends a head of very many short fields
-  kUnreadAnswers,  // each sends a request and does not read the answer
+  kFlood,              // one sends small and unsound requests at full speed, under ever new names
+  kSendAndLeave,       // each sends hundreds of requests at once and closes its connection
+  kHalfBodies,         // each stops half way through a large request
+  kManyFields,         // each sends a head of very many short fields
+  kUnreadAnswers,      // each sends a request and does not read the answer
+  kUnreadableFraming,  // each sends requests whose framing can't be read
   // Faults of discovery.
   kDark,      // discovery closes its watches, and closes every call without an answer
   kSilent,    // discovery accepts calls and never answers
@@ -78,6 +81,7 @@
   double slow_reader = 0.02;  // the client stops reading for 1 s
   double id_again = 0.2;      // of the requests whose client closed its connection: their id comes again
   double little_time = 0.05;  // the request has a budget of only 20 to 60 ms
+  double chunked = 0.3;       // the request's body comes in chunks
   Time think = 100'000;       // mean pause between requests, microseconds; also after a refusal
 };
 
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -416,6 +416,82 @@
   RC_ASSERT(v.served + v.refused + v.failed <= requests);
 }
 
+// Guards against a stream of one process of an upgrade that is judged by the SIGKILL of the other one.
+TEST(SoakChecker, AStreamIsJudgedByTheKillOfItsOwnProcess) {
+  const auto truncated = [](HistoryBuilder& s, Time killed, Time ended) {
+    s.h.processes[0].sigterm_at = 8 * kSec;
+    s.h.processes[0].killed = s.h.processes[0].ended = killed;
+    ClientRequest& r = s.AddRequest("free");
+    s.AddAttempt(0, 10 * kSec, AttemptEnd::kUnfinished, 0).ended = 0;
+    s.h.attempts.back().events = {{10 * kSec + 20 * kMs, "data: x\n\n"}};
+    r.events = {{10 * kSec + 20 * kMs, "data: x\n\n"}};
+    r.end = ClientEnd::kTruncated;
+    r.ended = ended;
+  };
+  ExpectBroken("its own", {Rule::kAnswer},
+               [&](HistoryBuilder& s) { truncated(s, 11'700 * kMs, 11'710 * kMs); });
+  ExpectBroken("the other's", {}, [&](HistoryBuilder& s) { truncated(s, 11'700 * kMs, 14'700 * kMs); });
+}
+
+// Adds a call of an operator that is answered with `status` 5 ms after it was sent; 0: not at all.
+void AddCall(HistoryBuilder& s, bool out, Time at, int status = 200) {
+  OperatorCall call;
+  call.replica = 0;
+  call.out = out;
+  call.sent = at;
+  call.answered = status != 0 ? at + 5 * kMs : 0;
+  call.status = status;
+  s.h.operator_calls.push_back(call);
+}
+
+TEST(SoakChecker, AReplicaThatIsOutByHandGetsNothingUntilTheCallBack) {
+  const auto served_at = [](HistoryBuilder& s, Time at) {
+    s.AddRequest("free", at), s.AddAttempt(0, at), s.ServeByLastAttempt();
+  };
+  ExpectBroken("sent after the grace", {Rule::kDrain},
+               [&](HistoryBuilder& s) { AddCall(s, true, 10 * kSec), served_at(s, 10 * kSec + 810 * kMs); });
+  ExpectBroken("a second call out does not start the grace anew", {Rule::kDrain}, [&](HistoryBuilder& s) {
+    AddCall(s, true, 10 * kSec), AddCall(s, true, 11 * kSec), served_at(s, 11 * kSec + 100 * kMs);
+  });
+  ExpectBroken("a call back that was made before", {Rule::kDrain}, [&](HistoryBuilder& s) {
+    AddCall(s, false, 9 * kSec), AddCall(s, true, 10 * kSec), served_at(s, 12 * kSec);
+  });
+  ExpectBroken("sent within the grace", {},
+               [&](HistoryBuilder& s) { AddCall(s, true, 10 * kSec), served_at(s, 10 * kSec + 800 * kMs); });
+  ExpectBroken("called back", {}, [&](HistoryBuilder& s) {
+    AddCall(s, true, 10 * kSec), AddCall(s, false, 11 * kSec), served_at(s, 12 * kSec);
+  });
+  ExpectBroken("called back without an answer", {}, [&](HistoryBuilder& s) {
+    AddCall(s, true, 10 * kSec), AddCall(s, false, 11 * kSec, 0), served_at(s, 12 * kSec);
+  });
+  ExpectBroken("a no, and no answer", {}, [&](HistoryBuilder& s) {
+    AddCall(s, true, 10 * kSec, 503), AddCall(s, true, 11 * kSec, 0), served_at(s, 13 * kSec);
+  });
+}
+
+TEST(SoakChecker, UnreadableRequestsGetAnErrorInTimeAndReachNoReplica) {
+  const auto unreadable = [](HistoryBuilder& s, int status, Time wait) {
+    s.h.unreadable_requests.push_back({0, "1", 10 * kSec, 10 * kSec + wait, status});
+  };
+  ExpectBroken("refused", {}, [&](HistoryBuilder& s) { unreadable(s, 400, 3'050 * kMs); });
+  ExpectBroken("closed", {}, [&](HistoryBuilder& s) { unreadable(s, 0, 10 * kMs); });
+  ExpectBroken("served", {Rule::kBadClient}, [&](HistoryBuilder& s) { unreadable(s, 200, 10 * kMs); });
+  ExpectBroken("late", {Rule::kBadClient}, [&](HistoryBuilder& s) { unreadable(s, 400, 3'060 * kMs); });
+  ExpectBroken("sent to a replica", {Rule::kBadClient}, [&](HistoryBuilder& s) {
+    s.AddRequest("free"), s.AddAttempt(0, 10 * kSec), s.ServeByLastAttempt(), unreadable(s, 400, 10 * kMs);
+  });
+}
+
+TEST(SoakChecker, AReplicaGetsTheBodyThatItsClientSent) {
+  const auto served = [](HistoryBuilder& s, std::size_t sent, std::size_t received) {
+    s.AddRequest("free").body_hash = sent;
+    s.AddAttempt(0, 10 * kSec).body_hash = received;
+    s.ServeByLastAttempt();
+  };
+  ExpectBroken("the same", {}, [&](HistoryBuilder& s) { served(s, 7, 7); });
+  ExpectBroken("another", {Rule::kContent}, [&](HistoryBuilder& s) { served(s, 7, 8); });
+}
+
 TEST(SoakPlan, ASeedDeterminesThePlanAndItsTextReadsBack) {
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
     const std::string text = PlanToJson(MakePlan(seed, 40 * kSec));
@@ -438,6 +514,16 @@
   for (std::size_t n = 0; n < seen.size(); ++n) EXPECT_GT(seen[n], 0) << Name(static_cast<FaultKind>(n));
 }
 
+TEST(SoakPlan, TheSeedsOfCiDrawCallsInUpgradesAndUnreadableFraming) {
+  std::vector<int> seen(static_cast<std::size_t>(FaultKind::kCount));
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    for (const Fault& f : MakePlan(seed, 15 * kSec).faults) ++seen[static_cast<std::size_t>(f.kind)];
+  }
+  for (const FaultKind kind :
+       {FaultKind::kOperatorCalls, FaultKind::kUpgrades, FaultKind::kUnreadableFraming})
+    EXPECT_GT(seen[static_cast<std::size_t>(kind)], 0) << Name(kind);
+}
+
 TEST(SoakPlan, ErrorsNameTheFaultyKey) {
   const std::string good = PlanToJson(MakePlan(3, 20 * kSec));
   const auto refused = [&](const std::string& from, const std::string& to, const std::string& named) {
