Add to the ledger's file what a process has counted, instead of replacing the sum by it

During an upgrade the two processes replace each other's.

Change: each process adds, under the file's lock, what it has counted since it last wrote. The file is the sum over the processes; its form is the same. LedgerFile uses StateFile in place of a job of its own.

--- a/src/app/openai_service.cpp
+++ b/src/app/openai_service.cpp
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include "base/log.h"
-#include "ledger/ledger_model.h"
 
 namespace ryeglade {
 
@@ -41,15 +40,11 @@
 void OpenAiService::WriteLedgerAtIntervals() {
   if (!ledger_file_.enabled()) return;
   core_->deadlines->Set(Now() + settings_->ledger_interval, [this] {
-    ledger_file_.Write(LedgerText());
+    ledger_file_.Write(front_.ledger().counts(), Now() / 1000);
     WriteLedgerAtIntervals();
   });
 }
 
-void OpenAiService::WriteLedgerNow() { ledger_file_.WriteNow(LedgerText()); }
-
-std::string OpenAiService::LedgerText() const {
-  return ledger::ToJson(front_.ledger(), core_->config->name, Now() / 1000);
-}
+void OpenAiService::WriteLedgerNow() { ledger_file_.WriteNow(front_.ledger().counts(), Now() / 1000); }
 
 }  // namespace ryeglade
--- a/src/app/openai_service.h
+++ b/src/app/openai_service.h
@@ -30,7 +30,6 @@
 
  private:
   void WriteLedgerAtIntervals();
-  std::string LedgerText() const;
   static Downstream::Options ListenerOptions(const OpenAiSettings& settings, std::size_t sockets,
                                              const limits::Networks* networks);
 
--- a/src/base/state_file.cpp
+++ b/src/base/state_file.cpp
@@ -9,7 +9,6 @@
 namespace ryeglade {
 namespace {
 
-constexpr mode_t kMode = 0600;
 // How long an update waits for another process's. Callers of an update wait for up to two of them.
 constexpr int kLockTimeoutMs = 200;
 
@@ -25,8 +24,9 @@
   FileError error;                     // of the write or the updates
 };
 
-StateFile::StateFile(uv_loop_t* loop, std::string path, std::function<void(const std::string&)> changed)
-    : loop_(loop), path_(std::move(path)), changed_(std::move(changed)), file_(path_) {}
+StateFile::StateFile(uv_loop_t* loop, std::string path, std::function<void(const std::string&)> changed,
+                     mode_t mode)
+    : loop_(loop), path_(std::move(path)), mode_(mode), changed_(std::move(changed)), file_(path_) {}
 
 StateFile::~StateFile() = default;
 
@@ -86,32 +86,36 @@
 // In the background thread.
 void StateFile::RunJob(Job& job) {
   if (job.write) {
-    job.error = ReplaceFile(path_, *job.write, kMode);
+    job.error = ReplaceFile(path_, *job.write, mode_);
   } else if (!job.updates.empty()) {
-    RunUpdates(job);
+    UpdateResult result = RunUpdates(job.updates);
+    job.error = result.error;
+    job.text = std::move(result.text);
   } else if (file_.IsReplaced()) {
     file_.Read(&job.text);  // after a failure the next check tries again
   }
 }
 
-void StateFile::RunUpdates(Job& job) {
+StateFile::UpdateResult StateFile::RunUpdates(const std::vector<PendingUpdate>& updates) {
+  UpdateResult result;
   const FileLock lock(path_ + ".lock", kLockTimeoutMs);
-  if (lock.error() != 0) {
-    job.error = {lock.error(), "cannot be locked"};
-    return;
-  }
-  if (const int error = file_.Read(&job.text); error != 0) {
-    job.error = {error, "cannot be read"};
-    return;
-  }
+  if (lock.error() != 0) return {{lock.error(), "cannot be locked"}, std::nullopt};
+  if (const int error = file_.Read(&result.text); error != 0)
+    return {{error, "cannot be read"}, std::nullopt};
   bool is_changed = false;
-  for (const PendingUpdate& update : job.updates) {
-    std::optional<std::string> next = update.change(job.text);
+  for (const PendingUpdate& update : updates) {
+    std::optional<std::string> next = update.change(result.text);
     if (!next) continue;
-    job.text = std::move(next);
+    result.text = std::move(next);
     is_changed = true;
   }
-  if (is_changed) job.error = ReplaceFile(path_, *job.text, kMode);
+  if (is_changed) result.error = ReplaceFile(path_, *result.text, mode_);
+  return result;
+}
+
+StateFile::UpdateResult StateFile::UpdateNow(const Change& change) {
+  if (!enabled()) return {{ENOENT, "has no path"}, std::nullopt};
+  return RunUpdates({{change, nullptr}});
 }
 
 void StateFile::OnJobDone(Job& job) {
--- a/src/base/state_file.h
+++ b/src/base/state_file.h
@@ -2,6 +2,7 @@
 // and in a background thread, and checked for replacements by other processes. The loop never blocks on it.
 #pragma once
 
+#include <sys/types.h>
 #include <uv.h>
 
 #include <functional>
@@ -21,6 +22,8 @@
 // all while it holds the file's lock, so that the updates of all processes have one order and none is lost.
 class StateFile {
  public:
+  static constexpr mode_t kPrivate = 0600;
+
   // Returns the text that replaces `current`, or nullopt to leave it. `current` is nullopt if there is no
   // file. Runs in a background thread.
   using Change = std::function<std::optional<std::string>(const std::optional<std::string>& current)>;
@@ -34,7 +37,8 @@
 
   // If `path` is empty, the file is disabled. `changed` is called on the loop with the complete text of the
   // file when another process has replaced it.
-  StateFile(uv_loop_t* loop, std::string path, std::function<void(const std::string&)> changed);
+  StateFile(uv_loop_t* loop, std::string path, std::function<void(const std::string&)> changed,
+            mode_t mode = kPrivate);
   ~StateFile();
   StateFile(const StateFile&) = delete;
   StateFile& operator=(const StateFile&) = delete;
@@ -50,6 +54,9 @@
   // Changes the text in the background. `done` is called on the loop once the file has been replaced, or with
   // an error. Updates that wait are made together, in the order of the calls.
   void Update(Change change, UpdateDone done);
+  // The same at once. Blocks on the disk and on other processes' updates; to be called while no operation
+  // runs in the background.
+  UpdateResult UpdateNow(const Change& change);
   // Checks the file at this interval, first at once: `changed` is called if another process has replaced it
   // since it was last read.
   void Watch(unsigned interval_ms);
@@ -63,12 +70,13 @@
   };
   void StartJob();
   void RunJob(Job& job);
-  void RunUpdates(Job& job);
+  UpdateResult RunUpdates(const std::vector<PendingUpdate>& updates);
   void OnJobDone(Job& job);
   void OnTextRead(const std::string& text);
 
   uv_loop_t* loop_;
   std::string path_;
+  mode_t mode_;
   std::function<void(const std::string&)> changed_;
   ReplacedFile file_;  // used by the running job, or by the loop while none runs
   bool job_running_ = false;
--- a/src/ledger/ledger_file.cpp
+++ b/src/ledger/ledger_file.cpp
@@ -2,9 +2,10 @@
 
 #include <cctype>
 #include <cstring>
+#include <optional>
+#include <stdexcept>
 #include <utility>
 
-#include "base/file_io.h"
 #include "base/log.h"
 
 namespace ryeglade::ledger {
@@ -12,54 +13,62 @@
 
 constexpr mode_t kFileMode = 0640;
 
-}  // namespace
-
-LedgerFile::LedgerFile(uv_loop_t* loop, std::string directory, const std::string& node) : loop_(loop) {
-  if (directory.empty()) return;
-  path_ = std::move(directory) + "/ledger-";
+std::string LedgerPath(const std::string& directory, const std::string& node) {
+  if (directory.empty()) return "";
+  std::string path = directory + "/ledger-";
   for (const char c : node.empty() ? std::string("node") : node) {
-    path_ += std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' || c == '_' ? c : '_';
+    path += std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' || c == '_' ? c : '_';
   }
-  path_ += ".json";
+  return path + ".json";
 }
 
-void LedgerFile::Write(std::string text) {
+// A file that is no ledger is replaced.
+Counts DecodeOrEmpty(const std::optional<std::string>& text) {
+  if (!text) return {};
+  try {
+    return CountsFromJson(*text);
+  } catch (const std::runtime_error&) {
+    return {};
+  }
+}
+
+}  // namespace
+
+LedgerFile::LedgerFile(uv_loop_t* loop, const std::string& directory, std::string node)
+    : node_(std::move(node)),
+      file_(
+          loop, LedgerPath(directory, node_), [](const std::string&) {}, kFileMode) {}
+
+StateFile::Change LedgerFile::AddTo(const Counts& counts, std::int64_t unix_ms) const {
+  return [added = counts.Since(written_), node = node_, unix_ms](const std::optional<std::string>& current) {
+    Counts sum = DecodeOrEmpty(current);
+    sum.Add(added);
+    return ToJson(sum, node, unix_ms);
+  };
+}
+
+void LedgerFile::Write(const Counts& counts, std::int64_t unix_ms) {
   if (!enabled() || busy_) return;
   busy_ = true;
-  Job* job = new Job;
-  job->work.data = job;
-  job->file = this;
-  job->path = path_;
-  job->text = std::move(text);
-  const int queued = uv_queue_work(
-      loop_, &job->work,
-      [](uv_work_t* w) {
-        Job* j = static_cast<Job*>(w->data);
-        j->error = ReplaceFile(j->path, j->text, kFileMode).error;
-      },
-      [](uv_work_t* w, int) {
-        Job* j = static_cast<Job*>(w->data);
-        j->file->busy_ = false;
-        if (j->error != 0) {
-          ++j->file->failures_;
-          Log(Level::kWarn, "ledger-not-written", {{"path", j->path}, {"why", std::strerror(j->error)}});
-        }
-        delete j;
-      });
-  if (queued != 0) {
+  file_.Update(AddTo(counts, unix_ms), [this, counts](const StateFile::UpdateResult& result) {
     busy_ = false;
-    delete job;
-  }
+    OnWritten(counts, result);
+  });
 }
 
-bool LedgerFile::WriteNow(const std::string& text) {
+bool LedgerFile::WriteNow(const Counts& counts, std::int64_t unix_ms) {
   if (!enabled()) return true;
-  const int error = ReplaceFile(path_, text, kFileMode).error;
-  if (error != 0) {
-    ++failures_;
-    Log(Level::kWarn, "ledger-not-written", {{"path", path_}, {"why", std::strerror(error)}});
+  return OnWritten(counts, file_.UpdateNow(AddTo(counts, unix_ms)));
+}
+
+bool LedgerFile::OnWritten(const Counts& counts, const StateFile::UpdateResult& result) {
+  if (result.error.error == 0) {
+    written_ = counts;
+    return true;
   }
-  return error == 0;
+  ++failures_;
+  Log(Level::kWarn, "ledger-not-written", {{"path", path()}, {"why", std::strerror(result.error.error)}});
+  return false;
 }
 
 }  // namespace ryeglade::ledger
--- a/src/ledger/ledger_file.h
+++ b/src/ledger/ledger_file.h
@@ -1,12 +1,14 @@
 // Writes the ledger to disk: one JSON file per node, replaced atomically at a fixed interval and at shutdown.
-// The file is written on a thread of libuv's pool; if the disk is full or read-only, the file is not written,
-// and no request is affected.
+// All processes of a node add to it what they have counted since they last did, so that it holds the sum over
+// the processes. If the disk is full or read-only, the file is not written, and no request is affected.
 #pragma once
 
 #include <uv.h>
 
+#include <cstdint>
 #include <string>
 
+#include "base/state_file.h"
 #include "ledger/ledger_model.h"
 
 namespace ryeglade::ledger {
@@ -15,26 +17,24 @@
  public:
   // An empty directory disables the file. The file's name contains `node`, with '_' in place of characters
   // other than letters, digits, '-' and '_'.
-  LedgerFile(uv_loop_t* loop, std::string directory, const std::string& node);
-  bool enabled() const { return !path_.empty(); }
-  const std::string& path() const { return path_; }  // empty if the file is disabled
-  // Writes in the background. Does nothing while an earlier write is still in progress.
-  void Write(std::string text);
-  // Blocks until the file is written; used at shutdown. Returns false if the write failed, and true if the
-  // file is disabled.
-  bool WriteNow(const std::string& text);
+  LedgerFile(uv_loop_t* loop, const std::string& directory, std::string node);
+  bool enabled() const { return file_.enabled(); }
+  const std::string& path() const { return file_.path(); }  // empty if the file is disabled
+  // Adds, in the background, what `counts` has more than at the last time. Does nothing while an earlier
+  // write is still in progress.
+  void Write(const Counts& counts, std::int64_t unix_ms);
+  // The same, but blocks until the file is written; used at shutdown. Returns false if the write failed, and
+  // true if the file is disabled.
+  bool WriteNow(const Counts& counts, std::int64_t unix_ms);
   unsigned long failures() const { return failures_; }  // failed writes
 
  private:
-  struct Job {
-    uv_work_t work{};
-    LedgerFile* file = nullptr;
-    std::string path, text;
-    int error = 0;  // errno of the write; 0 if it succeeded
-  };
-
-  uv_loop_t* loop_;
-  std::string path_;
+  StateFile::Change AddTo(const Counts& counts, std::int64_t unix_ms) const;
+  bool OnWritten(const Counts& counts, const StateFile::UpdateResult& result);
+
+  std::string node_;
+  StateFile file_;
+  Counts written_;     // the counts of this process that the file has
   bool busy_ = false;  // a background write is in progress
   unsigned long failures_ = 0;
 };
--- a/src/ledger/ledger_model.cpp
+++ b/src/ledger/ledger_model.cpp
@@ -21,6 +21,14 @@
   return {j.at("prompt").get<double>(), j.at("kept").get<double>(), j.at("answer").get<double>()};
 }
 
+// Returns the row of the key and model, or the row "(other)" if there are already Ledger::kMaxRows rows.
+Row& RowAt(Counts& counts, const Counts::Id& id) {
+  const auto it = counts.rows.find(id);
+  if (it != counts.rows.end()) return it->second;
+  if (counts.rows.size() >= Ledger::kMaxRows) return counts.rows[{"(other)", "(other)"}];
+  return counts.rows[id];
+}
+
 }  // namespace
 
 // These names are stored in ledger files and must not change.
@@ -49,13 +57,33 @@
   add(estimated, other.estimated);
 }
 
-Row& Ledger::At(const std::string& key, const std::string& model) {
-  const auto it = rows_.find({key, model});
-  if (it != rows_.end()) return it->second;
-  if (rows_.size() >= kMaxRows) return rows_[{"(other)", "(other)"}];
-  return rows_[{key, model}];
+void Row::Subtract(const Row& earlier) {
+  const auto subtract = [](Tokens& from, const Tokens& t) {
+    from.prompt -= t.prompt;
+    from.cached -= t.cached;
+    from.output -= t.output;
+  };
+  admitted -= earlier.admitted;
+  for (std::size_t i = 0; i < kOutcomes; ++i) ended.at(i) -= earlier.ended.at(i);
+  for (std::size_t i = 0; i < kUsageFaults; ++i) usage_faults.at(i) -= earlier.usage_faults.at(i);
+  subtract(reported, earlier.reported);
+  subtract(estimated, earlier.estimated);
+}
+
+void Counts::Add(const Counts& other) {
+  for (const auto& [id, row] : other.rows) RowAt(*this, id).Add(row);
+  for (const auto& [reason, count] : other.rejections) rejections[reason] += count;
 }
 
+Counts Counts::Since(const Counts& earlier) const {
+  Counts counts = *this;
+  for (const auto& [id, row] : earlier.rows) counts.rows.at(id).Subtract(row);
+  for (const auto& [reason, count] : earlier.rejections) counts.rejections.at(reason) -= count;
+  return counts;
+}
+
+Row& Ledger::At(const std::string& key, const std::string& model) { return RowAt(counts_, {key, model}); }
+
 void Ledger::RecordAdmission(const std::string& key, const std::string& model) { ++At(key, model).admitted; }
 
 void Ledger::RecordOutcome(const std::string& key, const std::string& model, Outcome outcome,
@@ -71,13 +99,13 @@
 
 Row Ledger::Total() const {
   Row total;
-  for (const auto& [id, row] : rows_) total.Add(row);
+  for (const auto& [id, row] : counts_.rows) total.Add(row);
   return total;
 }
 
-std::string ToJson(const Ledger& ledger, const std::string& node, std::int64_t unix_ms) {
+std::string ToJson(const Counts& counts, const std::string& node, std::int64_t unix_ms) {
   json rows = json::array();
-  for (const auto& [id, row] : ledger.rows()) {
+  for (const auto& [id, row] : counts.rows) {
     json ended;
     json faults = json::object();
     for (std::size_t i = 0; i < kOutcomes; ++i) ended[Name(static_cast<Outcome>(i))] = row.ended.at(i);
@@ -96,12 +124,14 @@
                     {"node", node},
                     {"unix_ms", unix_ms},
                     {"rows", rows},
-                    {"turned_away", ledger.rejections()}};
+                    {"turned_away", counts.rejections}};
   return all.dump(1) + "\n";
 }
 
-std::map<Ledger::Id, Row> RowsFromJson(const std::string& text) {
-  std::map<Ledger::Id, Row> rows;
+std::map<Ledger::Id, Row> RowsFromJson(const std::string& text) { return CountsFromJson(text).rows; }
+
+Counts CountsFromJson(const std::string& text) {
+  Counts counts;
   try {
     const json all = json::parse(text);
     if (all.at("format") != "ryeglade-ledger-1")
@@ -118,12 +148,14 @@
       }
       row.reported = TokensFromJson(j.at("reported"));
       row.estimated = TokensFromJson(j.at("estimated"));
-      rows[{j.at("key").get<std::string>(), j.at("model").get<std::string>()}].Add(row);
+      counts.rows[{j.at("key").get<std::string>(), j.at("model").get<std::string>()}].Add(row);
     }
+    for (const auto& [reason, count] : all.at("turned_away").items())
+      counts.rejections[reason] = count.get<std::uint64_t>();
   } catch (const json::exception& e) {
     throw std::runtime_error(e.what());
   }
-  return rows;
+  return counts;
 }
 
 std::string FormatTable(const std::map<Ledger::Id, Row>& rows) {
--- a/src/ledger/ledger_model.h
+++ b/src/ledger/ledger_model.h
@@ -42,12 +42,25 @@
 
   std::uint64_t open() const;  // requests admitted and not yet ended
   void Add(const Row& other);
+  void Subtract(const Row& earlier);  // no count of `earlier` is higher
+};
+
+// The counts of a process, or the sum of several processes of a node.
+struct Counts {
+  using Id = std::pair<std::string, std::string>;  // id of the key, and model
+  std::map<Id, Row> rows;
+  std::map<std::string, std::uint64_t> rejections;  // by reason
+
+  // Rows beyond Ledger::kMaxRows are added to the row "(other)".
+  void Add(const Counts& other);
+  // Returns what has been counted since `earlier`, which is of the same process.
+  Counts Since(const Counts& earlier) const;
 };
 
 class Ledger {
  public:
-  using Id = std::pair<std::string, std::string>;  // id of the key, and model
-  static constexpr std::size_t kMaxRows = 4096;    // without the row "(other)"
+  using Id = Counts::Id;
+  static constexpr std::size_t kMaxRows = 4096;  // without the row "(other)"
 
   void RecordAdmission(const std::string& key, const std::string& model);
   // Called exactly once when an admitted request ends. `usage` is the tokens it used; `reported` tells
@@ -56,23 +69,25 @@
   void RecordOutcome(const std::string& key, const std::string& model, Outcome outcome, const Usage& usage,
                      bool reported, const UsageFault* fault);
   // Counts a request that was rejected before it was admitted. `reason` is one of a fixed set of names.
-  void CountRejection(const std::string& reason) { ++rejections_[reason]; }
+  void CountRejection(const std::string& reason) { ++counts_.rejections[reason]; }
 
-  const std::map<Id, Row>& rows() const { return rows_; }
-  const std::map<std::string, std::uint64_t>& rejections() const { return rejections_; }
+  const Counts& counts() const { return counts_; }
+  const std::map<Id, Row>& rows() const { return counts_.rows; }
+  const std::map<std::string, std::uint64_t>& rejections() const { return counts_.rejections; }
   Row Total() const;
 
  private:
   // Returns the row of the key and model, or the row "(other)" if there are already kMaxRows rows.
   Row& At(const std::string& key, const std::string& model);
-  std::map<Id, Row> rows_;
-  std::map<std::string, std::uint64_t> rejections_;
+
+  Counts counts_;
 };
 
-// Encodes the ledger of `node` at the Unix time `unix_ms`, in milliseconds, as JSON, and decodes its rows.
+// Encodes the counts of `node` at the Unix time `unix_ms`, in milliseconds, as JSON, and decodes them.
 // The stored names of outcomes and token kinds differ from the names in this file and are fixed; see Name and
-// the encoder. RowsFromJson throws std::runtime_error that describes the error but does not name the file.
-std::string ToJson(const Ledger& ledger, const std::string& node, std::int64_t unix_ms);
+// the encoder. The decoders throw std::runtime_error that describes the error but does not name the file.
+std::string ToJson(const Counts& counts, const std::string& node, std::int64_t unix_ms);
+Counts CountsFromJson(const std::string& text);
 std::map<Ledger::Id, Row> RowsFromJson(const std::string& text);
 // Formats the rows as a text table with the totals in the last line.
 std::string FormatTable(const std::map<Ledger::Id, Row>& rows);
--- a/tests/accounts_test.cpp
+++ b/tests/accounts_test.cpp
@@ -157,7 +157,7 @@
   for (const char* key : {"k0", "k1", "k2"}) {
     RC_ASSERT(limits.reserved(key) == 0 && limits.streams(key) == 0);
   }
-  const auto decoded = ledger::RowsFromJson(ledger::ToJson(ledger, "n", 0));
+  const auto decoded = ledger::RowsFromJson(ledger::ToJson(ledger.counts(), "n", 0));
   RC_ASSERT(decoded.size() == ledger.rows().size());
 }
 
--- a/tests/state_file_test.cpp
+++ b/tests/state_file_test.cpp
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "base/file_io.h"
+#include "ledger/ledger_file.h"
 
 namespace ryeglade {
 namespace {
@@ -198,5 +199,30 @@
   Finish(file);
 }
 
+// Guards against a ledger of which one process of a node replaces what another one has counted, and against
+// figures that are gone after a planned restart.
+TEST_F(StateFileTest, TheLedgerHoldsTheSumOfAllProcesses) {
+  ledger::Ledger old_process, new_process, restarted;
+  ledger::LedgerFile old_file(&loop_, directory_, "n0"), new_file(&loop_, directory_, "n0");
+  const auto admit = [](ledger::Ledger& ledger, int requests) {
+    for (int i = 0; i < requests; ++i) ledger.RecordAdmission("k", "m");
+    ledger.CountRejection("invalid_api_key");
+  };
+  admit(old_process, 5);
+  EXPECT_TRUE(old_file.WriteNow(old_process.counts(), 1));
+  admit(new_process, 3);
+  EXPECT_TRUE(new_file.WriteNow(new_process.counts(), 2));
+  admit(old_process, 2);
+  EXPECT_TRUE(old_file.WriteNow(old_process.counts(), 3));
+  EXPECT_TRUE(new_file.WriteNow(new_process.counts(), 4));
+  admit(restarted, 1);
+  ledger::LedgerFile restarted_file(&loop_, directory_, "n0");
+  restarted_file.Write(restarted.counts(), 5);
+  uv_run(&loop_, UV_RUN_DEFAULT);
+  const ledger::Counts sum = ledger::CountsFromJson(ReadFileIfPresent(new_file.path()));
+  EXPECT_EQ(sum.rows.at({"k", "m"}).admitted, 11U);
+  EXPECT_EQ(sum.rejections.at("invalid_api_key"), 4U);
+}
+
 }  // namespace
 }  // namespace ryeglade
