Soak: no null reference where an operator's first call is looked for

Cause: the analyzer can't see that the call itself is found. Change: it is the answer if no other one is.

--- a/lab/soak/checker_model.cpp
+++ b/lab/soak/checker_model.cpp
@@ -466,7 +466,7 @@
       if (!call.out) first = nullptr;
       if (call.out && call.accepted() && first == nullptr) first = &call;
     }
-    return *first;
+    return first != nullptr ? *first : last;
   }
 
   // LATER: things that can't be read are owed an error or a close within 3 s, and are not served.
