Report a replacement that was read by an update which could not be written

A process whose update of a shared file failed to be written, for example on a full disk, could miss what the other process had put there: an operator's call, for good.

Cause: the update reads the file, after which ReplacedFile holds that version for known; with an error nobody is told of it, and later checks see no replacement.

Change: after a failure the held version is forgotten, so that the next check reads and reports it.

Evidence, before the fix: [ RUN ] StateFileTest.AReplacementReadByAnUpdateThatFailsIsReported state_file_test.cpp:216: RunUntil(reported == "two") is false [ FAILED ] StateFileTest.AReplacementReadByAnUpdateThatFailsIsReported (2131 ms) Now it passes, with the other StateFileTest and operator_calls (16 tests by ctest).

--- a/src/base/replaced_file.h
+++ b/src/base/replaced_file.h
@@ -21,6 +21,8 @@
   // Reads the file. Sets `text` to nullopt if there is none. A text of over kMaxBytes is read as empty.
   // Returns 0, or an errno value if the file can't be read.
   int Read(std::optional<std::string>* text);
+  // Makes IsReplaced return true until the next Read.
+  void Forget() { Hold(-1); }
   // Whether the file may have another text than at the last Read; false if there is no file.
   bool IsReplaced() const;
 
--- a/src/base/state_file.cpp
+++ b/src/base/state_file.cpp
@@ -110,7 +110,9 @@
     is_changed = true;
   }
   if (is_changed) result.error = ReplaceFile(path_, *result.text, mode_);
-  return result;
+  if (result.error.error == 0) return result;
+  file_.Forget();  // nobody has been told what was read here
+  return {result.error, std::nullopt};
 }
 
 StateFile::UpdateResult StateFile::UpdateNow(const Change& change) {
--- a/src/base/state_file.h
+++ b/src/base/state_file.h
@@ -31,7 +31,7 @@
   // The end of an update.
   struct UpdateResult {
     FileError error;                  // of the step that failed; the file is unchanged then
-    std::optional<std::string> text;  // what the file holds; nullopt if there is none
+    std::optional<std::string> text;  // what the file holds; nullopt if there is none, or with an error
   };
   using UpdateDone = std::function<void(const UpdateResult&)>;
 
--- a/tests/state_file_test.cpp
+++ b/tests/state_file_test.cpp
@@ -199,6 +199,24 @@
   Finish(file);
 }
 
+// Guards against a replacement that an update reads and that nobody is told of, because the update fails
+// then.
+TEST_F(StateFileTest, AReplacementReadByAnUpdateThatFailsIsReported) {
+  std::string reported;
+  StateFile file(&loop_, path(), [&](const std::string& text) { reported = text; });
+  Replace("one");
+  file.ReadNow();
+  Replace("two");
+  const std::string obstacle = path() + "." + std::to_string(getpid()) + ".new";  // in the way of ReplaceFile
+  std::filesystem::create_directory(obstacle);
+  int error = 0;
+  file.Update(Add("a"), [&](const StateFile::UpdateResult& result) { error = result.error.error; });
+  EXPECT_TRUE(RunUntil([&] { return error != 0; }));
+  file.Watch(kIntervalMs);
+  EXPECT_TRUE(RunUntil([&] { return reported == "two"; }));
+  Finish(file);
+}
+
 // Guards against a ledger of which one process of a node replaces what another one has counted, and against
 // figures that are gone after a planned restart.
 TEST_F(StateFileTest, TheLedgerHoldsTheSumOfAllProcesses) {
