Read 1xx responses, blanks and calls by hand in one place each

Change: MessageParser itself goes on to the final response, in place of a loop in ResponseParser and one in Discovery; RequestParser uses its Result, in place of an enum of the same values and a switch between them; IsBlank stands in token_model.h, in place of three copies; the soak's checker finds the call that counts in one pass, in place of two that had to agree; a destructor that did nothing is gone. Behaviour and tests are as they were.

--- a/lab/soak/checker_model.cpp
+++ b/lab/soak/checker_model.cpp
@@ -444,31 +444,21 @@
   // DAYS: for a replica that an operator takes out, the rule on drains holds from the node's yes until the
   // call back, over an upgrade, too.
   void CheckOperatorCalls(const ClientRequest& r, const Attempt& a) {
-    const OperatorCall* last = nullptr;  // the latest call that may be in force
+    const OperatorCall* out = nullptr;  // the first accepted call out since the last call back
     for (const OperatorCall& call : history_.operator_calls) {
       if (call.node != a.node || call.replica != a.replica || call.sent > a.began) continue;
       const bool binding = call.accepted() && call.answered <= a.began;
-      if (!call.out || binding) last = &call;
+      if (!call.out) out = nullptr;
+      if (call.out && binding && out == nullptr) out = &call;
     }
-    if (last == nullptr || !last->out) return;
-    const Time told = EndOfPause(a.node, FirstOf(*last).answered);
+    if (out == nullptr) return;
+    const Time told = EndOfPause(a.node, out->answered);
     if (a.began <= told + kDrainGrace + kTolerance) return;
     AddViolation(Rule::kDrain, r, a.began,
                  fmt::format("sent to {} {} ms after the node's yes to taking it out by hand",
                              history_.replicas[a.replica].name, (a.began - told) / 1000));
   }
 
-  // The first of the accepted calls out that `last` repeats: no call back came between.
-  const OperatorCall& FirstOf(const OperatorCall& last) const {
-    const OperatorCall* first = nullptr;
-    for (const OperatorCall& call : history_.operator_calls) {
-      if (call.node != last.node || call.replica != last.replica || call.sent > last.sent) continue;
-      if (!call.out) first = nullptr;
-      if (call.out && call.accepted() && first == nullptr) first = &call;
-    }
-    return first != nullptr ? *first : last;
-  }
-
   // LATER: things that can't be read are owed an error or a close within 3 s, and are not served.
   void CheckUnreadable(const UnreadableRequest& r) {
     const auto add_violation = [&](Time at, std::string what) {
--- a/src/base/state_file.cpp
+++ b/src/base/state_file.cpp
@@ -28,8 +28,6 @@
                      mode_t mode)
     : loop_(loop), path_(std::move(path)), mode_(mode), changed_(std::move(changed)), file_(path_) {}
 
-StateFile::~StateFile() = default;
-
 std::optional<std::string> StateFile::ReadNow() {
   std::optional<std::string> text;
   if (!enabled() || file_.Read(&text) != 0) return std::nullopt;
--- a/src/base/state_file.h
+++ b/src/base/state_file.h
@@ -39,7 +39,6 @@
   // file when another process has replaced it.
   StateFile(uv_loop_t* loop, std::string path, std::function<void(const std::string&)> changed,
             mode_t mode = kPrivate);
-  ~StateFile();
   StateFile(const StateFile&) = delete;
   StateFile& operator=(const StateFile&) = delete;
   bool enabled() const { return !path_.empty(); }
--- a/src/core/discovery.cpp
+++ b/src/core/discovery.cpp
@@ -165,16 +165,11 @@
 // ---- Responses ----
 
 bool Discovery::Request::Parse(std::string_view bytes) {
-  while (!bytes.empty() && !complete) {
-    std::size_t consumed = 0;
-    const MessageParser::Result result = parser.Parse(bytes, this, &consumed);
-    if (result == MessageParser::Result::kInvalid) return false;
-    bytes.remove_prefix(consumed);
-    if (result != MessageParser::Result::kComplete) continue;
-    complete = status >= 200;
-    if (!complete) parser.Start();  // the final response follows
-  }
-  return bytes.empty();  // bytes after the response belong to no response
+  std::size_t consumed = 0;
+  const MessageParser::Result result = parser.Parse(bytes, this, &consumed);
+  complete = result == MessageParser::Result::kComplete;
+  const bool has_surplus = consumed < bytes.size();  // bytes that belong to no response
+  return result != MessageParser::Result::kInvalid && !has_surplus;
 }
 
 bool Discovery::Request::OnHead(const http_parser& head, BodyFraming) {
--- a/src/core/response_parser.cpp
+++ b/src/core/response_parser.cpp
@@ -23,15 +23,12 @@
 
 bool ResponseParser::Parse(std::string_view bytes, std::vector<std::string_view>* body) {
   body_ = body;
-  while (!bytes.empty() && !message_.complete) {
-    std::size_t consumed = 0;
-    const MessageParser::Result result = parser_.Parse(bytes, this, &consumed);
-    if (result == MessageParser::Result::kInvalid) return false;
-    bytes.remove_prefix(consumed);
-    if (result == MessageParser::Result::kComplete) OnMessageComplete();
-  }
+  std::size_t consumed = 0;
+  const MessageParser::Result result = parser_.Parse(bytes, this, &consumed);
   body_ = nullptr;
-  if (!bytes.empty()) message_.keep_alive = false;  // bytes after the response belong to no response
+  if (result == MessageParser::Result::kInvalid) return false;
+  message_.complete = result == MessageParser::Result::kComplete;
+  if (consumed < bytes.size()) message_.keep_alive = false;  // the rest belongs to no response
   return true;
 }
 
@@ -70,9 +67,4 @@
   return true;
 }
 
-void ResponseParser::OnMessageComplete() {
-  message_.complete = message_.status >= 200;
-  if (!message_.complete) parser_.Start();  // the final response follows
-}
-
 }  // namespace ryeglade
--- a/src/core/response_parser.h
+++ b/src/core/response_parser.h
@@ -58,7 +58,6 @@
   bool OnFieldValue(std::string_view part) override;
   bool OnHead(const http_parser& head, BodyFraming framing) override;
   bool OnBody(std::string_view part) override;
-  void OnMessageComplete();
 
   MessageParser parser_{HTTP_RESPONSE, kMaxChunkBytes};
   const Dialect* dialect_ = nullptr;
--- a/src/http/body_decoder_model.cpp
+++ b/src/http/body_decoder_model.cpp
@@ -17,8 +17,6 @@
   return -1;
 }
 
-bool IsBlank(char c) { return c == ' ' || c == '\t'; }
-
 }  // namespace
 
 void BodyDecoder::Start(BodyFraming framing, std::uint64_t length) {
--- a/src/http/head_scanner_model.cpp
+++ b/src/http/head_scanner_model.cpp
@@ -1,5 +1,7 @@
 #include "http/head_scanner_model.h"
 
+#include "http/token_model.h"
+
 namespace ryeglade {
 
 HeadScanner::Part HeadScanner::Next(std::string_view bytes) {
@@ -21,10 +23,7 @@
   return part;
 }
 
-bool HeadScanner::IsFold(char c) const {
-  const bool is_blank = c == ' ' || c == '\t';
-  return is_blank && line_length_ == 0 && lines_ > 0;
-}
+bool HeadScanner::IsFold(char c) const { return IsBlank(c) && line_length_ == 0 && lines_ > 0; }
 
 void HeadScanner::KeepFirstLine(char c) {
   if (first_line_begin_.size() < kEndBytes) first_line_begin_.push_back(c);
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -23,8 +23,6 @@
   return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
 
-bool IsBlank(char c) { return c == ' ' || c == '\t'; }
-
 std::string_view Trim(std::string_view text) {
   const std::size_t first = text.find_first_not_of(" \t");
   if (first == std::string_view::npos) return {};
@@ -83,12 +81,13 @@
                                            std::size_t* consumed) {
   receiver_ = receiver;
   *consumed = 0;
-  while (*consumed < bytes.size() && !(head_complete_ && body_.complete())) {
+  while (*consumed < bytes.size() && !complete()) {
     const std::string_view rest = bytes.substr(*consumed);
     const bool valid = head_complete_ ? ParseBody(rest, consumed) : ParseHead(rest, consumed);
     if (!valid) return Result::kInvalid;
+    if (complete() && is_informational()) Start();  // the final response follows
   }
-  return head_complete_ && body_.complete() ? Result::kComplete : Result::kIncomplete;
+  return complete() ? Result::kComplete : Result::kIncomplete;
 }
 
 bool MessageParser::ParseHead(std::string_view bytes, std::size_t* consumed) {
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -52,7 +52,8 @@
   void Start();
 
   enum class Result : std::uint8_t { kIncomplete, kComplete, kInvalid };
-  // Parses at most to the end of the message. Sets `*consumed` to the number of bytes that belong to it.
+  // Parses at most to the end of the message; 1xx responses belong to the final one, which follows them. Sets
+  // `*consumed` to the number of bytes that belong to it.
   Result Parse(std::string_view bytes, MessageReceiver* receiver, std::size_t* consumed);
 
   // For an invalid message.
@@ -82,6 +83,8 @@
   // Sets the error if the fields do not say where the body ends.
   BodyFraming ClassifyBody();
   BodyFraming ClassifyCoding();
+  bool complete() const { return head_complete_ && body_.complete(); }
+  bool is_informational() const { return type_ == HTTP_RESPONSE && parser_.status_code < 200; }
   bool ParseHead(std::string_view bytes, std::size_t* consumed);
   bool ParseBody(std::string_view bytes, std::size_t* consumed);
 
--- a/src/http/request_parser.cpp
+++ b/src/http/request_parser.cpp
@@ -30,15 +30,7 @@
 }
 
 RequestParser::Result RequestParser::Parse(std::string_view bytes, std::size_t* consumed) {
-  switch (parser_.Parse(bytes, this, consumed)) {
-    case MessageParser::Result::kComplete:
-      return Result::kComplete;
-    case MessageParser::Result::kIncomplete:
-      return Result::kIncomplete;
-    case MessageParser::Result::kInvalid:
-      return Result::kInvalid;
-  }
-  return Result::kInvalid;
+  return parser_.Parse(bytes, this, consumed);
 }
 
 int RequestParser::error_status() const {
--- a/src/http/request_parser.h
+++ b/src/http/request_parser.h
@@ -46,7 +46,7 @@
   // Prepares for the next request on the same connection.
   void Reset();
 
-  enum class Result { kIncomplete, kComplete, kInvalid };
+  using Result = MessageParser::Result;
   // Parses at most to the end of the request. Sets `*consumed` to the number of bytes that belong to it.
   Result Parse(std::string_view bytes, std::size_t* consumed);
 
--- a/src/http/token_model.h
+++ b/src/http/token_model.h
@@ -6,6 +6,9 @@
 
 namespace ryeglade {
 
+// Whether `c` is a blank within a line (RFC 9110, section 5.6.3).
+inline bool IsBlank(char c) { return c == ' ' || c == '\t'; }
+
 // Whether `c` may be part of a token, such as a field's name (RFC 9110, section 5.6.2).
 inline bool IsTokenByte(char c) {
   const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
